--- a/include/mosspath/config/operator_settings.h
+++ b/include/mosspath/config/operator_settings.h
@@ -6,13 +6,13 @@
 namespace mosspath::config {
 
 struct OperatorSettings {
-  double gamma = 1.5;            // a machine's layer bytes may be up to gamma/M of the block's
-  double epsilon = 1e-3;         // weight of the disk share in the score
-  uint64_t max_machines = 1000;  // never rent beyond this
-  double horizon_boots = 2.0;    // waiting work should be gone within this many boot times
-  double keep_idle_boots = 0.2;  // an idle machine is kept for this many boot times
-  double reserve = 0.1;          // room kept above what is wanted, as a share of it
-  bool preemption = true;        // urgent work may stop lower work
+  double gamma = 1.5;               // a machine's layer bytes may be up to gamma/M of the block's
+  double epsilon = 1e-3;            // weight of the disk share in the score
+  uint64_t max_machines = 100'000;  // never rent beyond this
+  double horizon_boots = 2.0;       // waiting work should be gone within this many boot times
+  double keep_idle_boots = 0.2;     // an idle machine is kept for this many boot times
+  double reserve = 0.1;             // room kept above what is wanted, as a share of it
+  bool preemption = true;           // urgent work may stop lower work
 
   friend bool operator==(const OperatorSettings&, const OperatorSettings&) = default;
 };
--- a/include/mosspath/config/settings.h
+++ b/include/mosspath/config/settings.h
@@ -83,6 +83,8 @@
   double gone_s;           // a machine unanswered for this long has dropped its tasks
   double silent_s;         // a machine unheard of for this long is suspect
   double flush_s;          // interval of the leader's batched writes
+  double place_gap_s;      // least time between two passes over the waiting jobs
+  double plan_gap_s;       // least time between two plans of the fleet
   double read_gap_s;       // least time between two catch-up reads
   double watch_s;          // how long a watch stays open
   double call_timeout_s;   // of a request to the state service
--- a/include/mosspath/fleet/planner.h
+++ b/include/mosspath/fleet/planner.h
@@ -33,6 +33,7 @@
   bool idle = false;
   double idle_s = 0;
   double used_cpus = 0;
+  double work_s = 0;  // CPU seconds that its tasks are expected to take yet
   bool draining = false;
   bool needed = false;  // runs work that allows no cheap machine
 };
@@ -48,6 +49,7 @@
   std::vector<Wish> rent;
   std::vector<std::string> give_back;  // idle, to be deleted now
   std::vector<std::string> drain;      // to take no new tasks
+  std::vector<std::string> rest;       // nor these, unless urgent work finds no room elsewhere
   double wanted_cpus = 0;
 };
 
@@ -57,7 +59,7 @@
   std::vector<wire::MachineType> types;
   std::vector<Demand> demand;
   double running_cpus = 0;
-  double recent_cpus = 0;  // what was wanted lately, fading: keeps room for the next burst
+  double burst_cpus = 0;  // the largest urgent job lately: the next should find room at once
   std::vector<Unit> units;
   std::map<Offer, double> closed_until;  // offers that had no capacity
   double now = 0;
@@ -66,10 +68,9 @@
 struct PlannerTuning {
   double horizon_boots = 2.0;    // waiting work should be gone within this many boot times
   double keep_idle_boots = 0.2;  // an idle machine is kept for this many boot times
-  double memory_boots = 1.0;     // how fast what was wanted lately fades
   double reserve = 0.1;          // room kept above what is wanted, as a share of it
   double cheap_cover = 2.0;  // ordinary machines go once cheap ones have this many times their CPUs
-  int max_machines = 1000;
+  int max_machines = 100'000;
 };
 
 Plan MakePlan(const PlannerInput& in, const PlannerTuning& tuning);
--- a/include/mosspath/jobs/job.h
+++ b/include/mosspath/jobs/job.h
@@ -18,6 +18,7 @@
   Phase phase = Phase::kPending;
   bool durable = false;   // its completion is in the state service
   bool counted = false;   // its first start, towards the objectives
+  bool moved = false;     // was stopped once to empty a machine
   uint16_t attempts = 0;  // made under the present token
 };
 
@@ -36,6 +37,8 @@
   uint32_t failures = 0;  // since the last success
   double not_before = 0;
   bool finishing = false;  // its completion is being written
+  int turn_rank = 0;       // its place in the order: the higher first,
+  double turn = 0;         // then the earlier
 
   Job(wire::JobSpec s, uint64_t v, double at);
   bool complete() const { return spec.kind != wire::Kind::kService && done == spec.tasks; }
--- a/include/mosspath/picture/machine.h
+++ b/include/mosspath/picture/machine.h
@@ -26,11 +26,13 @@
   wire::Why why = wire::Why::kNone;
   bool stop = false;
   double grace_s = 0;
+  uint64_t seen = 0;  // the last report taken in that listed it
   double stop_sent = -1e18;
   double since = 0;  // when it was placed
   double running_since = 0;
   bool adopted = false;   // begun before we knew: its run time is not known
-  bool orphan = false;  // no live job, or a second copy: only to be stopped and forgotten
+  bool orphan = false;    // no live job, or a second copy: only to be stopped and forgotten
+  double expected_s = 0;  // of run time
   // What it takes of the machine and of its team's limit.
   double cpus = 0;
   double gpus = 0;
@@ -76,7 +78,8 @@
   double last_heard = -1e18;
   double last_answered = 0;         // the last 200 that any entitled controller could have sent
   std::optional<double> notice_at;  // when the cloud takes it away
-  bool draining = false;
+  bool draining = false;            // takes no new tasks
+  bool resting = false;  // the same, but urgent work that finds no room elsewhere may come here
   bool condemned = false;
   bool lost = false;  // silent beyond its lease: nothing is on it
   bool deleting = false;
@@ -90,7 +93,12 @@
   std::map<SlotKey, Slot> slots;
   ImageCache images;
 
-  double cpus = 0, gpus = 0, memory_gb = 0, cache_gb = 0;  // of its type
+  bool in_record = false;  // its entry is in the record, durable or not
+  bool recorded = false;   // its entry in the record is durable
+  bool unsure = false;     // has a start that got no answer
+  bool todo = false;       // has starts or stops that a worker may still have to be told
+
+  double cpus = 0, gpus = 0, memory_gb = 0, cache_gb = 0, fetch_gb_per_s = 0;  // of its type
   double used_cpus = 0, used_gpus = 0, used_memory_gb = 0;
 
   // Whether (session, seq) is newer than what is known.
--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -65,7 +65,7 @@
   bool settled() const { return inherited_ == 0; }
 
   // --- Jobs ---
-  void AddJob(wire::JobSpec spec, uint64_t version, double submitted, double now);
+  void AddJob(wire::JobSpec spec, uint64_t version, double submitted);
   void RemoveJob(const std::string& id, double now);
   const jobs::Job* FindJob(const std::string& id) const;
   JobCounts Counts(const std::string& id) const;
@@ -96,6 +96,8 @@
   // Places what can be placed now.
   void Place(double now);
   fleet::Plan PlanFleet(double now);
+  // Jobs came that no plan has seen yet.
+  bool wants_machines() const { return wants_machines_; }
 
   // --- Records to write; conditional on the leader key ---
   state::PackedMap& progress() { return progress_; }
@@ -112,6 +114,9 @@
   // The job's completion is durable: counts it towards the objectives.
   void Finished(const std::string& id, double now);
   wire::Digest Summary(double now) const;
+  // Jobs tried and machines looked at for them, so far.
+  uint64_t placements() const { return placements_; }
+  uint64_t looked_at() const { return looked_at_; }
   const std::map<std::string, picture::Machine>& machines() const { return machines_; }
   const std::map<std::string, std::unique_ptr<jobs::Job>>& jobs() const { return jobs_; }
 
@@ -124,6 +129,7 @@
 
   jobs::Job* Find(const std::string& id);
   const wire::MachineType* TypeOf(const std::string& name) const;
+  void SetType(picture::Machine& m) const;
   picture::Machine& MachineFor(const wire::Report& r, double now);
   void NewSession(picture::Machine& m, uint64_t session, double now);
   void Reconcile(picture::Machine& m, const wire::Report& r, bool regular, double now);
@@ -140,10 +146,18 @@
   void Occupy(picture::Machine& m, const picture::SlotKey& key, picture::Slot slot);
   void Vacate(picture::Machine& m, picture::Slot& slot, const wire::TaskId& task);
   void RuledOut(picture::Machine& m);
-  void Stop(picture::Slot& slot, double grace_s);
+  void Stop(picture::Machine& m, picture::Slot& slot, double grace_s);
   bool MayStart(const jobs::Job& job) const;
   bool Usable(const picture::Machine& m, double now) const;
-  void PlaceJob(jobs::Job& job, std::vector<picture::Machine*>& pool, double pool_gb, double now);
+  bool PlaceJob(jobs::Job& job, const std::vector<picture::Machine*>& pool, double& pool_gb,
+                double now);
+  void Refill(picture::Machine& m, double now);
+  bool Put(jobs::Job& job, picture::Machine& m, double now);
+  bool Allowed(const jobs::Job& job, const picture::Machine& m, double now) const;
+  double MissingGb(const jobs::Job& job, const picture::Machine& m) const;
+  double FetchTime(const jobs::Job& job, const picture::Machine& m) const;
+  // How many of the job's tasks may be placed now, room aside.
+  size_t MayPlace(const jobs::Job& job) const;
   size_t TeamRoom(const jobs::Job& job) const;
   void Preempt(double now);
   void MoveOff(double now);
@@ -166,7 +180,8 @@
   std::deque<std::pair<double, std::string>> troubles_;
   const uint64_t token_;
   const double begun_;
-  std::map<std::string, std::set<double>> aims_;  // class -> when its jobs should be finished
+  std::map<std::string, std::set<double>> aims_;        // class -> when its jobs should be finished
+  std::map<std::string, std::set<double>> start_aims_;  // class -> when its tasks should be started
   std::map<std::string, std::set<double>> deadline_times_;  // class -> multiples of the deadline
   std::map<std::string, wire::MachineType> types_;
   std::map<std::string, std::unique_ptr<jobs::Job>> jobs_;
@@ -178,14 +193,22 @@
   size_t unknown_tasks_ = 0;  // orphans whose size is unknown: hold back teams with limits
   size_t inherited_ = 0;
   bool dirty_ = true;
+  std::vector<jobs::Job*> order_;  // of the jobs that the last Place left waiting, or may have
+  double best_fetch_ = 0;          // GB a second of the type that fetches fastest
+  uint64_t taken_in_ = 0;          // reports
+  uint64_t placements_ = 0;
+  uint64_t looked_at_ = 0;
   uint64_t newest_revision_ = 0;
   double next_summary_ = -1e18;
   double blind_since_ = -1;
-  double recent_wanted_ = 0;
-  double last_plan_ = 0;
+  struct Arrival {
+    double at = 0;
+    double cpus = 0;
+  };
+  std::vector<Arrival> arrivals_;  // of urgent jobs, lately
+  bool wants_machines_ = false;    // jobs came since the last plan
   state::PackedMap progress_;
   state::PackedMap machines_record_;
-  std::set<std::string> recorded_;  // machines whose entry in the record is durable
   std::vector<std::pair<std::string, uint32_t>> progress_snapshot_;
   std::vector<std::string> machines_snapshot_;
   std::map<std::string, wire::Json> pending_progress_;  // segments loaded before their job
--- a/include/mosspath/place/locality.h
+++ b/include/mosspath/place/locality.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <vector>
 
 namespace mosspath::place {
@@ -26,6 +27,35 @@
 size_t Best(const std::vector<Candidate>& candidates, double pool_gb, size_t block_size,
             const Policy& policy);
 
+// The choices that Best makes for one task after another of an image, at one pass over the machines
+// and little per task.
+class Picker {
+ public:
+  Picker(const std::vector<Candidate>& candidates, double pool_gb, size_t block_size,
+         const Policy& policy);
+
+  // The best machine now, or kNone when none has room.
+  size_t Best();
+  // The machine that Best gave took a task: it holds the image now, `held_gb` in all.
+  void Placed(double held_gb, bool has_room);
+  // The machine that Best gave can take none.
+  void Drop();
+
+ private:
+  // Machines that lack the same: the one that holds least is the best of them, and when it doesn't
+  // pass the cap, none of them does.
+  using Group = std::vector<Candidate>;  // a heap
+
+  Candidate Take();
+  void Put(const Candidate& c);
+
+  std::map<double, Group> groups_;  // by what is missing
+  double chosen_ = 0;               // the group of the machine that Best gave
+  double pool_gb_;
+  const double cap_;
+  const Policy policy_;
+};
+
 // Machines for `replicas` replicas of a service: the best ones, distinct while they last.
 std::vector<size_t> BestDistinct(const std::vector<Candidate>& candidates, size_t replicas,
                                  double pool_gb, size_t block_size, const Policy& policy);
--- a/include/mosspath/service/leader.h
+++ b/include/mosspath/service/leader.h
@@ -46,6 +46,7 @@
   void Flush();
   void WriteCompletions();
   void PlanFleet();
+  void PlanSoon();
   void SendRents();
   void RefreshTypes();
   void ListMachines();
@@ -60,6 +61,8 @@
   const uint64_t token_;
   place::Dispatcher dispatcher_;
   net::Timer tick_timer_;
+  net::Timer kick_timer_;
+  net::Timer rent_timer_;
   net::Timer flush_timer_;
   net::Timer fleet_timer_;
   net::Timer list_timer_;
@@ -71,6 +74,8 @@
   double flush_not_before_ = 0;
   uint64_t rent_count_ = 0;
   bool kicked_ = false;
+  double next_place_ = 0;
+  double last_plan_ = 0;
   std::map<std::string, std::unique_ptr<net::HttpClient>> workers_;  // by machine
   std::vector<PendingRent> rents_;
 };
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -157,6 +157,8 @@
   gone_s = s.lease_s * (1 + 4 * kDrift) + 0.02 * s.lease_s;
   silent_s = 2 * s.report_s + 4.0;  // a worker gives up on an answer after 4 s
   flush_s = std::max(0.25, 6.0 / s.state_write_rps);
+  place_gap_s = s.report_s / 40;
+  plan_gap_s = 1 / s.cloud_rps;
   read_gap_s = std::max(0.05, 3.0 * s.nodes / s.state_rps);
   watch_s = std::max(2.0, grant_s);
   call_timeout_s = std::min(2.0, grant_s / 3);
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -53,12 +53,10 @@
   // Machines and their free room, by offer.
   std::map<Offer, double> free_cpus;
   std::map<std::string, int> per_zone;
-  double usable = 0;
   for (const Unit& u : in.units) {
     auto t = by_name.find(u.type);
     if (t == by_name.end() || !u.usable) continue;
     free_cpus[{u.type, u.zone, u.spot}] += std::max(0.0, Cpus(*t->second) - u.used_cpus);
-    usable += Cpus(*t->second);
     ++per_zone[u.zone];
   }
   int machines = static_cast<int>(in.units.size());
@@ -127,9 +125,25 @@
         {std::get<0>(offer), std::get<1>(offer), std::get<2>(offer), static_cast<int>(count)});
   }
 
-  // Give back what is not needed: the dearest first, of those the emptiest, so that work gathers
-  // on the others and machines fall idle.
-  double spare = usable - std::max(plan.wanted_cpus, in.recent_cpus) * (1 + tuning.reserve);
+  // Give back what is not needed: the dearest first, of those the ones that are empty soonest, so
+  // that work gathers on the others. Enough room must stay free on machines that take new work;
+  // what runs on the others ends by itself. (Room for that too kept twice the machines that were
+  // needed when a day's load fell.)
+  double free_room = 0;
+  double used = 0;
+  for (const Unit& u : in.units) {
+    const auto t = by_name.find(u.type);
+    if (t == by_name.end() || !u.usable) continue;
+    free_room += std::max(0.0, Cpus(*t->second) - u.used_cpus);
+    used += u.used_cpus;
+  }
+  double keep_free = in.burst_cpus + tuning.reserve * used;
+  for (const Demand& d : in.demand) {
+    const auto c = std::find_if(choices.begin(), choices.end(), [&](const Choice& o) {
+      return Allows(d, *o.type, o.zone, o.spot);
+    });
+    if (c != choices.end()) keep_free += d.waiting * Weight(d, *c->type);
+  }
   double cheap_up = 0;
   double ordinary_up = 0;
   std::vector<const Unit*> dear;
@@ -149,7 +163,7 @@
   std::stable_sort(dear.begin(), dear.end(), [&](const Unit* a, const Unit* b) {
     if (price(a) != price(b)) return price(a) > price(b);
     if (a->draining != b->draining) return a->draining;
-    return a->used_cpus < b->used_cpus;
+    return a->work_s < b->work_s;
   });
   for (const Unit* u : dear) {
     const auto* t = by_name[u->type];
@@ -159,12 +173,13 @@
     }
     // A dear machine is no longer worth its price once cheap ones carry the work.
     const bool dear_and_covered = !u->spot && t->spot_price > 0 && covered && !u->needed;
-    if (!dear_and_covered && spare < Cpus(*t)) continue;
-    spare -= Cpus(*t);
+    const double room = std::max(0.0, Cpus(*t) - u->used_cpus);
+    if (!dear_and_covered && free_room - room < keep_free) continue;
+    free_room -= room;
     if (u->idle && (dear_and_covered || u->idle_s >= tuning.keep_idle_boots * t->boot_s)) {
       plan.give_back.push_back(u->id);
     } else {
-      plan.drain.push_back(u->id);
+      (dear_and_covered ? plan.drain : plan.rest).push_back(u->id);
     }
   }
   return plan;
--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -42,6 +42,7 @@
       machines_record_(static_cast<size_t>(PackBytes(settings))) {
   for (const auto& o : settings_.objectives) {
     if (o.kind == "finished" && o.within_s > 0) aims_[o.job_class].insert(o.within_s);
+    if (o.kind == "wait" && o.within_s > 0) start_aims_[o.job_class].insert(o.within_s);
     if (o.kind == "deadline" && o.times > 0) deadline_times_[o.job_class].insert(o.times);
   }
 }
@@ -56,8 +57,8 @@
   if (!value.is_object()) return;
   machines_record_.Load(pack, value);
   for (const auto& [id, zone] : value.items()) {
-    recorded_.insert(id);
     Machine& m = machines_[id];
+    m.in_record = m.recorded = true;
     if (m.inherited) continue;
     m.id = id;
     m.zone = zone.is_string() ? zone.get<std::string>() : "";
@@ -68,18 +69,24 @@
 }
 
 void Dispatcher::SetTypes(std::vector<wire::MachineType> types) {
-  for (auto& t : types) types_[t.name] = std::move(t);
-  for (auto& [id, m] : machines_) {
-    if (const auto* t = TypeOf(m.type)) {
-      m.cpus = t->cpus;
-      m.gpus = t->gpus;
-      m.memory_gb = t->memory_gb;
-      m.cache_gb = t->cache_gb;
-    }
+  for (auto& t : types) {
+    best_fetch_ = std::max(best_fetch_, t.fetch_gb_per_s);
+    types_[t.name] = std::move(t);
   }
+  for (auto& [id, m] : machines_) SetType(m);
   dirty_ = true;
 }
 
+void Dispatcher::SetType(Machine& m) const {
+  const auto* t = TypeOf(m.type);
+  if (t == nullptr) return;
+  m.cpus = t->cpus;
+  m.gpus = t->gpus;
+  m.memory_gb = t->memory_gb;
+  m.cache_gb = t->cache_gb;
+  m.fetch_gb_per_s = t->fetch_gb_per_s;
+}
+
 const wire::MachineType* Dispatcher::TypeOf(const std::string& name) const {
   auto it = types_.find(name);
   return it == types_.end() ? nullptr : &it->second;
@@ -106,7 +113,7 @@
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-void Dispatcher::AddJob(wire::JobSpec spec, uint64_t version, double submitted, double now) {
+void Dispatcher::AddJob(wire::JobSpec spec, uint64_t version, double submitted) {
   auto& entry = jobs_[spec.id];
   if (entry) return;
   entry = std::make_unique<Job>(std::move(spec), version, submitted);
@@ -118,8 +125,10 @@
     jobs::ApplyRanges(it->second, s, &job);
     pending_progress_.erase(it);
   }
-  (void)now;
-  dirty_ = true;
+  if (job.spec.kind == wire::Kind::kArray && job.spec.rank >= wire::Rank::kHigh) {
+    arrivals_.push_back({submitted, job.spec.tasks * job.spec.cpus});
+  }
+  dirty_ = wants_machines_ = true;
 }
 
 void Dispatcher::RemoveJob(const std::string& id, double now) {
@@ -129,6 +138,7 @@
   for (uint32_t s = 0; s < segments; ++s) {
     progress_.Erase(jobs::SegmentName(id, s), /*lazily=*/true);
   }
+  std::erase(order_, it->second.get());
   jobs_.erase(it);
   for (auto& [mid, m] : machines_) {
     auto slot = m.slots.lower_bound({{id, 0}, 0});
@@ -138,7 +148,7 @@
       if (slot->second.state == Slot::State::kIntended) {
         Gone(m, slot, now);
       } else {
-        Stop(slot->second, 0);
+        Stop(m, slot->second, 0);
       }
       slot = next;
     }
@@ -216,7 +226,8 @@
   while (!m.slots.empty()) Gone(m, m.slots.begin(), now);
 }
 
-void Dispatcher::Stop(Slot& slot, double grace_s) {
+void Dispatcher::Stop(Machine& m, Slot& slot, double grace_s) {
+  m.todo = true;
   if (slot.stop && slot.grace_s <= grace_s) return;
   slot.stop = true;
   slot.grace_s = grace_s;
@@ -245,7 +256,6 @@
   RuledOut(it->second);
   AllGone(it->second, now);
   machines_.erase(it);
-  recorded_.erase(id);
   machines_record_.Erase(id, /*lazily=*/false);
   dirty_ = true;
 }
@@ -320,7 +330,7 @@
       m.least_session = m.session + 1;
       AllGone(m, now);
       RuledOut(m);
-      recorded_.erase(id);
+      m.in_record = m.recorded = false;
       machines_record_.Erase(id, /*lazily=*/false);
       if (m.address.empty()) machines_.erase(it);
     }
@@ -342,12 +352,12 @@
         const double usual = job->mean_run_s();
         const double ran = slot.running_since > 0 ? now - slot.running_since : 0;
         if (m.condemned && usual > 0 && m.slowness * usual - ran > 1.5 * usual) {
-          Stop(slot, job->spec.save_s);
+          Stop(m, slot, job->spec.save_s);
         }
         if (m.notice_at && job->spec.checkpoint_s > 0) {
           // Notices may be half as long as they say.
           if ((*m.notice_at - now) / 2 < job->spec.save_s + 2 * settings_.report_s) {
-            Stop(slot, job->spec.save_s);
+            Stop(m, slot, job->spec.save_s);
           }
         }
       }
@@ -514,13 +524,16 @@
 void Dispatcher::SnapshotMachines() {
   machines_snapshot_.clear();
   for (auto& [id, m] : machines_) {
-    if (machines_record_.Has(id)) machines_snapshot_.push_back(id);
+    if (m.in_record && !m.recorded) machines_snapshot_.push_back(id);
   }
 }
 
 void Dispatcher::MachinesDurable() {
   for (const auto& id : machines_snapshot_) {
-    if (machines_.contains(id)) recorded_.insert(id);
+    // Gone and back in the meantime, its entry may have been written without it.
+    if (auto it = machines_.find(id); it != machines_.end() && it->second.in_record) {
+      it->second.recorded = true;
+    }
   }
   machines_snapshot_.clear();
   dirty_ = true;
--- a/src/place/dispatcher_fleet.cc
+++ b/src/place/dispatcher_fleet.cc
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr double kBootPatience = 2.5;  // boot times after which a machine is given up
+constexpr double kLatelyBoots = 2;     // boot times, or
+constexpr double kLatelyReports = 10;  // reports, over which the largest urgent job counts
+constexpr double kLeastLeft = 0.25;    // of its expected time, that a task is taken to run yet
 
 }  // namespace
 
@@ -39,6 +42,8 @@
       if (slot.exited()) return true;
       const Job* job = slot.orphan ? nullptr : FindJob(key.first.job);
       if (job == nullptr || slot.stop || slot.reported != wire::TaskState::kRunning) return false;
+      // Once only: what must be emptied changes all the time, and every move costs its task.
+      if (job->tasks[key.first.index].moved) return false;
       if (job->spec.checkpoint_s <= 0 || job->spec.kind == wire::Kind::kGang) return false;
       const double left = ExpectedRun(*job) - (now - slot.running_since);
       worth = worth || left > 2 * (job->spec.save_s + settings_.report_s);
@@ -46,7 +51,10 @@
     });
     if (!movable || !worth) continue;
     for (auto& [key, slot] : m.slots) {
-      if (!slot.exited()) Stop(slot, FindJob(key.first.job)->spec.save_s);
+      if (slot.exited()) continue;
+      Job* job = Find(key.first.job);
+      job->tasks[key.first.index].moved = true;
+      Stop(m, slot, job->spec.save_s);
     }
     room -= m.used_cpus;
     spdlog::debug("fleet: moving the tasks of {} elsewhere", id);
@@ -105,7 +113,19 @@
       if (now - m.last_answered > derived_.silent_s) doomed.insert(id);
       continue;
     }
-    fleet::Unit u{id, m.type, m.zone, m.spot, true, Usable(m, now), false, 0, m.used_cpus};
+    fleet::Unit u;
+    u.id = id;
+    u.type = m.type;
+    u.zone = m.zone;
+    u.spot = m.spot;
+    u.up = true;
+    u.usable = Usable(m, now);
+    u.used_cpus = m.used_cpus;
+    for (const auto& [key, slot] : m.slots) {
+      if (slot.exited()) continue;
+      const double ran = slot.running_since > 0 ? now - slot.running_since : 0;
+      u.work_s += slot.cpus * std::max(slot.expected_s - ran, kLeastLeft * slot.expected_s);
+    }
     u.idle = std::all_of(m.slots.begin(), m.slots.end(),
                          [&](const auto& s) {
                            return s.second.exited() &&
@@ -136,19 +156,24 @@
       hopeless.push_back(id);
       continue;
     }
-    in.units.push_back({id, b.offer.type, b.offer.zone, b.offer.spot, false, true, false, 0, 0});
+    fleet::Unit u;
+    u.id = id;
+    u.type = b.offer.type;
+    u.zone = b.offer.zone;
+    u.spot = b.offer.spot;
+    u.usable = true;
+    in.units.push_back(std::move(u));
   }
   double boot_s = 0;
   for (const auto& [name, t] : types_) boot_s = std::max(boot_s, t.boot_s);
-  if (boot_s > 0) {
-    recent_wanted_ *= std::exp(-(now - last_plan_) / (tuning_.memory_boots * boot_s));
-    last_plan_ = now;
-  }
-  in.recent_cpus = recent_wanted_;
+  const double lately = std::max(kLatelyBoots * boot_s, kLatelyReports * settings_.report_s);
+  std::erase_if(arrivals_, [&](const Arrival& a) { return now - a.at > lately; });
+  for (const Arrival& a : arrivals_) in.burst_cpus = std::max(in.burst_cpus, a.cpus);
   fleet::Plan plan = MakePlan(in, tuning_);
-  recent_wanted_ = std::max(recent_wanted_, plan.wanted_cpus);
-  std::set<std::string> drain(plan.drain.begin(), plan.drain.end());
-  for (auto& [id, m] : machines_) m.draining = drain.contains(id);
+  wants_machines_ = false;
+  for (auto& [id, m] : machines_) m.draining = m.resting = false;
+  for (const auto& id : plan.drain) machines_.at(id).draining = true;
+  for (const auto& id : plan.rest) machines_.at(id).draining = machines_.at(id).resting = true;
   MoveOff(now);
   // A machine that the cloud no longer runs is deleted at once, which rules its tasks out. One
   // that is silent but may be running is only worth deleting while few are: when many are silent,
--- a/src/place/dispatcher_place.cc
+++ b/src/place/dispatcher_place.cc
@@ -23,7 +23,8 @@
 constexpr uint16_t kMaxAttempts = 0xffff;
 constexpr double kCheapLoss = 0.12;  // of its run time, that a task may lose for higher work
 constexpr double kAged = 0.4;        // of its aim, after which waiting low work counts as normal
-constexpr double kYield = 15;  // how far a job yields, in multiples of the time it takes the pool
+constexpr double kPatience = 3;  // how long a job's turn may wait to save a fetch, in such fetches
+constexpr double kYield = 15;    // how far a job yields, in multiples of the time it takes the pool
 
 }  // namespace
 
@@ -54,22 +55,30 @@
   return static_cast<size_t>(std::max(0.0, room));
 }
 
-// Whether the job can't meet any of its aims any more, and the time that the next one allows.
+// Whether the job can't meet any of its aims any more, and the time within which the next one wants
+// it finished, as far as its tasks run as long as is expected.
 std::pair<bool, double> Dispatcher::NextAim(const Job& job, double now) const {
-  std::vector<double> within;
-  if (job.spec.deadline_s) {
-    if (auto it = deadline_times_.find(job.spec.job_class); it != deadline_times_.end()) {
-      for (double times : it->second) within.push_back(times * *job.spec.deadline_s);
-    } else {
-      within.push_back(*job.spec.deadline_s);
-    }
-  } else if (auto it = aims_.find(job.spec.job_class); it != aims_.end()) {
-    within.assign(it->second.begin(), it->second.end());
+  const double run = ExpectedRun(job);
+  const double age = now - job.submitted;
+  double last = -1;
+  double next = -1;
+  const auto consider = [&](double due) {
+    last = std::max(last, due);
+    if (age + run <= due && (next < 0 || due < next)) next = due;
+  };
+  const auto times = deadline_times_.find(job.spec.job_class);
+  if (job.spec.deadline_s && times == deadline_times_.end()) consider(*job.spec.deadline_s);
+  if (job.spec.deadline_s && times != deadline_times_.end()) {
+    for (double t : times->second) consider(t * *job.spec.deadline_s);
   }
-  for (double w : within) {
-    if (now + ExpectedRun(job) <= job.submitted + w) return {false, w};
+  if (auto it = aims_.find(job.spec.job_class); it != aims_.end()) {
+    for (double within : it->second) consider(within);
   }
-  return {!within.empty(), within.empty() ? settings_.lease_s * 8 : within.back()};
+  if (auto it = start_aims_.find(job.spec.job_class); it != start_aims_.end()) {
+    for (double within : it->second) consider(within + run);
+  }
+  if (next >= 0) return {false, next};
+  return {last >= 0, last >= 0 ? last : settings_.lease_s * 8};
 }
 
 std::vector<Job*> Dispatcher::Order(double now) {
@@ -109,8 +118,10 @@
     if (rank == wire::Rank::kLow && !hopeless && now - job->submitted > kAged * within) {
       rank = wire::Rank::kNormal;
     }
-    ranked.push_back(
-        {guaranteed.contains(job->spec.team), static_cast<int>(rank), hopeless, turn, job.get()});
+    const bool first = guaranteed.contains(job->spec.team);
+    job->turn = turn;
+    job->turn_rank = (first ? 8 : 0) + 2 * static_cast<int>(rank) + (hopeless ? 0 : 1);
+    ranked.push_back({first, static_cast<int>(rank), hopeless, turn, job.get()});
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
     if (a.first != b.first) return a.first;
@@ -124,9 +135,58 @@
   return out;
 }
 
+bool Dispatcher::Allowed(const Job& job, const Machine& m, double now) const {
+  const wire::JobSpec& spec = job.spec;
+  if (m.spot && !spec.spot) return false;
+  if (spec.zone && *spec.zone != m.zone) return false;
+  if (spec.types &&
+      std::find(spec.types->begin(), spec.types->end(), m.type) == spec.types->end()) {
+    return false;
+  }
+  if (job.failed_on.empty()) return true;
+  const auto failed = job.failed_on.find(m.id);
+  return failed == job.failed_on.end() || now - failed->second > settings_.lease_s;
+}
+
+double Dispatcher::MissingGb(const Job& job, const Machine& m) const {
+  if (m.images.Has(job.spec.image)) return 0;
+  // A byte that is fetched at half the rate weighs double.
+  return job.spec.image_gb * (m.fetch_gb_per_s > 0 ? best_fetch_ / m.fetch_gb_per_s : 1);
+}
+
+size_t Dispatcher::MayPlace(const Job& job) const {
+  size_t room = std::min<size_t>(TeamRoom(job), job.pending.size());
+  if (Doubtful(job)) room = std::min<size_t>(room, job.placed() == 0 ? 1 : 0);
+  return room;
+}
+
+bool Dispatcher::Put(Job& job, Machine& m, double now) {
+  const wire::JobSpec& spec = job.spec;
+  const uint32_t index = *job.pending.begin();
+  jobs::Task& t = job.tasks[index];
+  if (t.attempts == kMaxAttempts) {
+    job.not_before = 1e18;  // cannot happen within a leadership's life; never reuse an attempt
+    return false;
+  }
+  ++t.attempts;
+  Slot slot;
+  slot.since = now;
+  slot.expected_s = ExpectedRun(job);
+  slot.cpus = spec.cpus;
+  slot.gpus = spec.gpus;
+  slot.memory_gb = spec.memory_gb;
+  slot.team = spec.team;
+  slot.image = spec.image;
+  m.images.Use(spec.image, spec.image_gb, m.cache_gb);
+  m.todo = true;
+  Occupy(m, {{spec.id, index}, (token_ << kAttemptBits) | t.attempts}, std::move(slot));
+  return true;
+}
+
 void Dispatcher::Place(double now) {
   if (!dirty_) return;
   dirty_ = false;
+  order_.clear();
   std::vector<Machine*> pool;
   double pool_gb = 0;
   for (auto& [id, m] : machines_) {
@@ -134,28 +194,41 @@
     pool.push_back(&m);
     pool_gb += m.images.bytes_gb();
     // A machine must be in the durable record before anything is started on it.
-    if (!machines_record_.Has(id)) machines_record_.Set(id, m.zone);
+    if (!m.in_record) {
+      m.in_record = true;
+      if (!machines_record_.Has(id)) machines_record_.Set(id, m.zone);
+    }
   }
   if (pool.empty()) return;
-  for (Job* job : Order(now)) PlaceJob(*job, pool, pool_gb, now);
+  order_ = Order(now);
+  // Room only shrinks from here on: what found none leaves none for the same or more.
+  std::vector<const wire::JobSpec*> full;
+  for (Job* job : order_) {
+    const wire::JobSpec& s = job->spec;
+    const bool plain = s.kind == wire::Kind::kArray && !s.one_zone && !s.spread && !s.zone &&
+                       !s.types && job->failed_on.empty();
+    const bool hopeless = std::any_of(full.begin(), full.end(), [&](const wire::JobSpec* f) {
+      return (f->spot || !s.spot) && s.cpus >= f->cpus && s.gpus >= f->gpus &&
+             s.memory_gb >= f->memory_gb &&
+             (f->rank >= wire::Rank::kHigh || s.rank < wire::Rank::kHigh);
+    });
+    if (hopeless) continue;
+    ++placements_;
+    if (!PlaceJob(*job, pool, pool_gb, now) && plain) full.push_back(&s);
+  }
 }
 
-void Dispatcher::PlaceJob(Job& job, std::vector<Machine*>& pool, double pool_gb, double now) {
+// False when it found too little room.
+bool Dispatcher::PlaceJob(Job& job, const std::vector<Machine*>& pool, double& pool_gb,
+                          double now) {
   const wire::JobSpec& spec = job.spec;
-  size_t room = std::min<size_t>(TeamRoom(job), job.pending.size());
-  if (Doubtful(job)) room = std::min<size_t>(room, job.placed() == 0 ? 1 : 0);
-  if (room == 0) return;
-  const auto allowed = [&](const Machine& m) {
-    if (m.spot && !spec.spot) return false;
-    if (spec.zone && *spec.zone != m.zone) return false;
-    if (spec.types &&
-        std::find(spec.types->begin(), spec.types->end(), m.type) == spec.types->end()) {
-      return false;
-    }
-    return !job.failed_on.contains(m.id) || now - job.failed_on[m.id] > settings_.lease_s;
-  };
-  const auto fits = [&](const Machine& m) {
-    return !m.draining && m.Fits(spec.cpus, spec.gpus, spec.memory_gb);
+  size_t room = MayPlace(job);
+  if (room == 0) return true;
+  // Machines that rest are the last resort of urgent work.
+  const bool urgent = spec.rank >= wire::Rank::kHigh;
+  const auto fits = [&](const Machine& m, bool draining) {
+    return m.draining == draining && m.resting == draining &&
+           m.Fits(spec.cpus, spec.gpus, spec.memory_gb);
   };
   std::string only_zone;
   if (spec.one_zone) {
@@ -165,7 +238,9 @@
     if (only_zone.empty()) {  // the zone with the most room
       std::map<std::string, double> free;
       for (const Machine* m : pool) {
-        if (allowed(*m) && fits(*m)) free[m->zone] += m->cpus - m->used_cpus;
+        if ((fits(*m, false) || (urgent && fits(*m, true))) && Allowed(job, *m, now)) {
+          free[m->zone] += m->cpus - m->used_cpus;
+        }
       }
       double most = -1;
       for (const auto& [zone, cpus] : free) {
@@ -174,137 +249,165 @@
           only_zone = zone;
         }
       }
+      if (only_zone.empty()) return false;
     }
   }
   const uint32_t zone_cap = (spec.tasks + 1) / 2;
-  std::vector<Candidate> candidates;
-  for (size_t i = 0; i < pool.size(); ++i) {
-    const Machine& m = *pool[i];
-    if (!fits(m) || !allowed(m)) continue;
-    if (!only_zone.empty() && m.zone != only_zone) continue;
-    candidates.push_back(
-        {i, m.images.Has(spec.image) ? 0 : spec.image_gb, m.images.bytes_gb(), true});
-  }
-  if (candidates.empty()) return;
-  if (spec.kind == wire::Kind::kGang) {
-    // All that are missing or none: part of a gang would only hold machines while it waits.
-    size_t fit = 0;
-    for (const Candidate& c : candidates) {
-      const Machine& m = *pool[c.machine];
-      const auto times = [](double free, double need) { return need > 0 ? free / need : 1e6; };
-      fit += static_cast<size_t>(
-          std::min({times(m.cpus - m.used_cpus, spec.cpus), times(m.gpus - m.used_gpus, spec.gpus),
-                    times(m.memory_gb - m.used_memory_gb, spec.memory_gb)}) +
-          1e-6);
-    }
-    if (fit < job.pending.size() || room < job.pending.size()) return;
-  }
-  const auto put = [&](Machine& m) {
-    const uint32_t index = *job.pending.begin();
-    jobs::Task& t = job.tasks[index];
-    if (t.attempts == kMaxAttempts) {
-      job.not_before = 1e18;  // cannot happen within a leadership's life; never reuse an attempt
-      return false;
-    }
-    ++t.attempts;
-    Slot slot;
-    slot.since = now;
-    slot.cpus = spec.cpus;
-    slot.gpus = spec.gpus;
-    slot.memory_gb = spec.memory_gb;
-    slot.team = spec.team;
-    slot.image = spec.image;
-    m.images.Use(spec.image, spec.image_gb, m.cache_gb);
-    Occupy(m, {{spec.id, index}, (token_ << kAttemptBits) | t.attempts}, std::move(slot));
-    return true;
-  };
   const auto zone_full = [&](const Machine& m) {
     return spec.spread && job.placed_in[m.zone] >= zone_cap;
   };
-  std::vector<size_t> replicas;
-  if (spec.kind == wire::Kind::kService) {
-    replicas = BestDistinct(candidates, room, pool_gb, pool.size(), policy_);
-  }
-  size_t next_replica = 0;
-  while (room > 0) {
-    size_t best = kNone;
-    while (next_replica < replicas.size() && best == kNone) {
-      const Machine& m = *pool[replicas[next_replica++]];
-      if (fits(m) && !zone_full(m)) best = replicas[next_replica - 1];
+  for (const bool draining : {false, true}) {
+    if (draining && !urgent) break;
+    std::vector<Candidate> candidates;
+    for (size_t i = 0; i < pool.size(); ++i) {
+      const Machine& m = *pool[i];
+      ++looked_at_;
+      if (!fits(m, draining) || !Allowed(job, m, now)) continue;
+      if (!only_zone.empty() && m.zone != only_zone) continue;
+      candidates.push_back({i, MissingGb(job, m), m.images.bytes_gb(), true});
     }
-    if (best == kNone) best = Best(candidates, pool_gb, pool.size(), policy_);
-    if (best == kNone) break;
-    Machine& m = *pool[best];
-    auto at = std::find_if(candidates.begin(), candidates.end(),
-                           [&](const Candidate& c) { return c.machine == best; });
-    if (zone_full(m)) {
-      at->has_room = false;
-      continue;
+    if (spec.kind == wire::Kind::kGang) {
+      // All that are missing or none: part of a gang would only hold machines while it waits.
+      size_t fit = 0;
+      for (const Candidate& c : candidates) {
+        const Machine& m = *pool[c.machine];
+        const auto times = [](double free, double need) { return need > 0 ? free / need : 1e6; };
+        fit +=
+            static_cast<size_t>(std::min({times(m.cpus - m.used_cpus, spec.cpus),
+                                          times(m.gpus - m.used_gpus, spec.gpus),
+                                          times(m.memory_gb - m.used_memory_gb, spec.memory_gb)}) +
+                                1e-6);
+      }
+      if (fit < job.pending.size() || room < job.pending.size()) continue;
+    }
+    if (spec.kind == wire::Kind::kService) {
+      for (size_t i : BestDistinct(candidates, room, pool_gb, pool.size(), policy_)) {
+        Machine& m = *pool[i];
+        if (room == 0 || !fits(m, draining) || zone_full(m)) continue;
+        const double held = m.images.bytes_gb();
+        if (!Put(job, m, now)) return true;
+        pool_gb += m.images.bytes_gb() - held;
+        --room;
+      }
+      for (Candidate& c : candidates) {
+        const Machine& m = *pool[c.machine];
+        c = {c.machine, MissingGb(job, m), m.images.bytes_gb(), fits(m, draining)};
+      }
+    }
+    Picker picker(candidates, pool_gb, pool.size(), policy_);
+    while (room > 0) {
+      const size_t best = picker.Best();
+      if (best == kNone) break;
+      Machine& m = *pool[best];
+      if (zone_full(m)) {
+        picker.Drop();
+        continue;
+      }
+      const double held = m.images.bytes_gb();
+      if (!Put(job, m, now)) return true;
+      --room;
+      pool_gb += m.images.bytes_gb() - held;
+      picker.Placed(m.images.bytes_gb(), fits(m, draining));
+    }
+    if (room == 0) return true;
+  }
+  return false;
+}
+
+// Room that came free on a machine, while work waits for just that: the waiting jobs in their
+// order, as Place would do with no room elsewhere. Of jobs whose turns are close the one whose
+// image is here goes first: Layer Locality from the machine's side, since with all machines full
+// the jobs are what there is to choose from.
+void Dispatcher::Refill(Machine& m, double now) {
+  if (order_.empty() || m.draining || !Usable(m, now)) return;
+  const auto takes = [&](const Job& job) {
+    const wire::JobSpec& s = job.spec;
+    return !job.pending.empty() && m.Fits(s.cpus, s.gpus, s.memory_gb) &&
+           s.kind == wire::Kind::kArray && !s.one_zone && !s.spread && now >= job.not_before &&
+           Allowed(job, m, now) && MayPlace(job) > 0;
+  };
+  for (size_t i = 0; i < order_.size(); ++i) {
+    Job* job = order_[i];
+    while (takes(*job)) {
+      Job* chosen = job;
+      double least = job->turn + kPatience * FetchTime(*job, m);
+      for (size_t k = i + 1; least > job->turn && k < order_.size(); ++k) {
+        Job* other = order_[k];
+        if (other->turn_rank != job->turn_rank || other->turn >= least) break;
+        if (!takes(*other)) continue;
+        const double cost = other->turn + kPatience * FetchTime(*other, m);
+        if (cost < least) {
+          least = cost;
+          chosen = other;
+        }
+      }
+      if (!Put(*chosen, m, now)) break;
     }
-    if (!put(m)) break;
-    --room;
-    pool_gb += m.images.bytes_gb() - at->held_gb;
-    at->held_gb = m.images.bytes_gb();
-    at->missing_gb = 0;
-    at->has_room = fits(m);
+    if (m.used_cpus >= m.cpus) break;
   }
 }
 
+double Dispatcher::FetchTime(const Job& job, const Machine& m) const {
+  if (m.fetch_gb_per_s <= 0 || m.images.Has(job.spec.image)) return 0;
+  return job.spec.image_gb / m.fetch_gb_per_s;
+}
+
 // Makes room for waiting work of a higher rank by stopping lower work that loses least.
 void Dispatcher::Preempt(double now) {
+  struct Victim {
+    double loss;
+    Machine* machine;
+    Slot* slot;
+    const Job* job;
+  };
+  std::vector<Victim> victims;
+  bool gathered = false;
   double coming = 0;  // CPUs that stops under way will free
   for (auto& [id, m] : machines_) {
+    if (!m.todo) continue;
     for (auto& [key, slot] : m.slots) {
       if (slot.stop && !slot.exited()) coming += slot.cpus;
     }
   }
   for (Job* job : Order(now)) {
-    if (job->spec.rank < wire::Rank::kHigh) break;
-    double short_of =
-        static_cast<double>(std::min<size_t>(TeamRoom(*job), job->pending.size())) * job->spec.cpus;
+    if (job->spec.rank < wire::Rank::kHigh) continue;
+    double short_of = static_cast<double>(MayPlace(*job)) * job->spec.cpus;
     const double covered = std::min(short_of, coming);
     coming -= covered;
     short_of -= covered;
     if (short_of <= 0) continue;
-    struct Victim {
-      double loss;
-      Machine* machine;
-      Slot* slot;
-      const Job* job;
-    };
-    std::vector<Victim> victims;
-    for (auto& [id, m] : machines_) {
-      if (!Usable(m, now) || (m.spot && !job->spec.spot)) continue;
-      if (job->spec.zone && *job->spec.zone != m.zone) continue;
-      if (job->spec.types && std::find(job->spec.types->begin(), job->spec.types->end(), m.type) ==
-                                 job->spec.types->end()) {
-        continue;
-      }
-      for (auto& [key, slot] : m.slots) {
-        if (slot.orphan || slot.stop || slot.exited() || slot.state != Slot::State::kReported) {
-          continue;
+    if (!gathered) {
+      gathered = true;
+      for (auto& [id, m] : machines_) {
+        if (!Usable(m, now)) continue;
+        for (auto& [key, slot] : m.slots) {
+          if (slot.orphan || slot.stop || slot.exited() || slot.state != Slot::State::kReported) {
+            continue;
+          }
+          const Job* other = FindJob(key.first.job);
+          if (other == nullptr || other->spec.kind == wire::Kind::kGang) continue;  // one stops all
+          const bool saves = other->spec.checkpoint_s > 0;
+          const double ran = slot.running_since > 0 ? now - slot.running_since : 0;
+          const double loss = saves ? std::min(ran, other->spec.save_s) : ran;
+          // Of losses alike, the lower work's weighs less.
+          const double weight = 1 + 2 * static_cast<int>(other->spec.rank);
+          victims.push_back({loss * slot.cpus * weight, &m, &slot, other});
         }
-        const Job* other = FindJob(key.first.job);
-        if (other == nullptr || other->spec.rank >= job->spec.rank) continue;
-        if (other->spec.kind == wire::Kind::kGang) continue;  // one stops all
-        const bool saves = other->spec.checkpoint_s > 0;
-        // What can't save loses all it has done: only worth it while that is little.
-        const double ran = slot.running_since > 0 ? now - slot.running_since : 0;
-        if (!saves && job->spec.rank != wire::Rank::kCritical &&
-            ran > kCheapLoss * ExpectedRun(*other)) {
-          continue;
-        }
-        const double loss = saves ? std::min(ran, other->spec.save_s) : ran;
-        // Of losses alike, the lower work's weighs less.
-        const double weight = 1 + 2 * static_cast<int>(other->spec.rank);
-        victims.push_back({loss * slot.cpus * weight, &m, &slot, other});
       }
+      std::stable_sort(victims.begin(), victims.end(),
+                       [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
     }
-    std::stable_sort(victims.begin(), victims.end(),
-                     [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
     for (const Victim& v : victims) {
       if (short_of <= 0) break;
-      Stop(*v.slot, v.job->spec.save_s);
+      if (v.slot->stop || v.job->spec.rank >= job->spec.rank) continue;
+      if (!Allowed(*job, *v.machine, now)) continue;
+      // What can't save loses all it has done: only worth it while that is little.
+      const double ran = v.slot->running_since > 0 ? now - v.slot->running_since : 0;
+      if (v.job->spec.checkpoint_s <= 0 && job->spec.rank != wire::Rank::kCritical &&
+          ran > kCheapLoss * ExpectedRun(*v.job)) {
+        continue;
+      }
+      Stop(*v.machine, *v.slot, v.job->spec.save_s);
       short_of -= v.slot->cpus;
       spdlog::debug("place: preempting a task of {} on {} for {}", v.job->spec.id, v.machine->id,
                     job->spec.id);
--- a/src/place/dispatcher_reports.cc
+++ b/src/place/dispatcher_reports.cc
@@ -37,12 +37,7 @@
     m.zone = r.zone;
     m.spot = r.spot;
     m.first_heard = m.idle_since = now;
-    if (const auto* t = TypeOf(r.type)) {
-      m.cpus = t->cpus;
-      m.gpus = t->gpus;
-      m.memory_gb = t->memory_gb;
-      m.cache_gb = t->cache_gb;
-    }
+    SetType(m);
     booting_.erase(r.machine);
     spdlog::info("picture: machine {} type={} zone={} spot={}", m.id, m.type, m.zone, m.spot);
   }
@@ -88,18 +83,20 @@
   }
   Reconcile(m, r, /*regular=*/true, now);
   RuledOut(m);
-  Place(now);
+  Refill(m, now);
   return {true, m.token, CommandsFor(m, now)};
 }
 
 std::vector<DirectOrder> Dispatcher::TakeDirect(double now) {
   std::vector<DirectOrder> out;
   for (auto& [id, m] : machines_) {
-    if (m.calling || !m.confirmed || m.slots.empty() || m.lost || m.deleting) continue;
+    if (!m.todo || m.calling || !m.confirmed || m.lost || m.deleting) continue;
+    m.todo = false;
     const bool may_start =
-        recorded_.contains(id) && Usable(m, now) && now - m.last_heard < 1.5 * settings_.report_s;
+        m.recorded && Usable(m, now) && now - m.last_heard < 1.5 * settings_.report_s;
     std::vector<wire::Command> commands;
     for (auto& [key, slot] : m.slots) {
+      m.todo = m.todo || slot.state == Slot::State::kIntended || (slot.stop && !slot.exited());
       if (commands.size() >= kMaxCommands) break;
       if (slot.state == Slot::State::kIntended) {
         if (!may_start) continue;
@@ -143,7 +140,7 @@
         Gone(m, it, now);
         break;
       case DirectOutcome::kUnsure:
-        slot.unsure = true;
+        slot.unsure = m.unsure = true;
         break;
     }
   }
@@ -161,6 +158,10 @@
 // a later write of ours is one, and is lower than the token of any later leader.
 void Dispatcher::RaiseTokens() {
   for (auto& [id, m] : machines_) {
+    if (!m.unsure) continue;
+    m.unsure = std::any_of(m.slots.begin(), m.slots.end(), [](const auto& s) {
+      return s.second.unsure && s.second.state == Slot::State::kSent;
+    });
     const bool needed = std::any_of(m.slots.begin(), m.slots.end(), [&](const auto& s) {
       return s.second.unsure && s.second.state == Slot::State::kSent &&
              s.second.sent_token == m.token;
@@ -177,16 +178,17 @@
 }
 
 void Dispatcher::Reconcile(Machine& m, const wire::Report& r, bool regular, double now) {
-  std::set<SlotKey> listed;
+  const uint64_t seen = ++taken_in_;
   for (const wire::TaskReport& t : r.tasks) {
     const SlotKey key{t.task, t.attempt};
-    listed.insert(key);
     auto it = m.slots.find(key);
     if (it == m.slots.end()) {
       Adopt(m, t, now);
+      if (it = m.slots.find(key); it != m.slots.end()) it->second.seen = seen;
       continue;
     }
     Slot& slot = it->second;
+    slot.seen = seen;
     const bool was_exited = slot.exited();
     if (slot.reported != wire::TaskState::kRunning && t.state == wire::TaskState::kRunning) {
       slot.running_since = now;
@@ -207,7 +209,7 @@
                        (r.seq > slot.sent_seq || (slot.unsure && r.token > slot.sent_token)));
     // The worker sends its next report only after the answer to the last one was taken or given
     // up, so a start that is missing here was never taken and never will be.
-    if (told && !listed.contains(it->first)) {
+    if (told && slot.seen != seen) {
       if (slot.state == Slot::State::kSent) {
         spdlog::debug("place: start of {} on {} was lost", wire::TaskName(it->first.first), m.id);
       }
@@ -231,6 +233,7 @@
   if (job != nullptr) {
     slot.image = job->spec.image;
     slot.team = job->spec.team;
+    slot.expected_s = ExpectedRun(*job);
     m.images.Use(job->spec.image, job->spec.image_gb, m.cache_gb);
   }
   if (slot.exited()) {
@@ -270,7 +273,7 @@
   }
   if (job == nullptr || job->tasks[t.task.index].phase != Phase::kPending) {
     slot.orphan = true;
-    Stop(slot, 0);
+    Stop(m, slot, 0);
     spdlog::info("place: stopping {} on {}: {}", wire::TaskName(t.task), m.id,
                  job == nullptr ? "its job is over" : "it is elsewhere or done");
   }
@@ -355,7 +358,7 @@
 
 std::vector<wire::Command> Dispatcher::CommandsFor(Machine& m, double now) {
   std::vector<wire::Command> out;
-  const bool may_start = recorded_.contains(m.id) && Usable(m, now);
+  const bool may_start = m.recorded && Usable(m, now);
   for (auto& [key, slot] : m.slots) {
     if (out.size() >= kMaxCommands) break;
     const auto& [task, attempt] = key;
--- a/src/place/locality.cc
+++ b/src/place/locality.cc
@@ -11,10 +11,19 @@
   return -c.missing_gb - policy.epsilon * Share(c, pool_gb);
 }
 
+double Cap(size_t block_size, const Policy& policy) {
+  return policy.gamma / static_cast<double>(std::max<size_t>(1, block_size));
+}
+
+// Of a heap whose top is the machine that holds least, the first one of those alike.
+bool Later(const Candidate& a, const Candidate& b) {
+  return a.held_gb != b.held_gb ? a.held_gb > b.held_gb : a.machine > b.machine;
+}
+
 // The filter c_1 of the paper; with no machine passing, it is skipped.
 std::vector<const Candidate*> Passing(const std::vector<Candidate>& candidates, double pool_gb,
                                       size_t block_size, const Policy& policy) {
-  const double cap = policy.gamma / static_cast<double>(std::max<size_t>(1, block_size));
+  const double cap = Cap(block_size, policy);
   std::vector<const Candidate*> pass;
   std::vector<const Candidate*> room;
   for (const Candidate& c : candidates) {
@@ -36,6 +45,61 @@
   return best == pass.end() ? kNone : (*best)->machine;
 }
 
+Picker::Picker(const std::vector<Candidate>& candidates, double pool_gb, size_t block_size,
+               const Policy& policy)
+    : pool_gb_(pool_gb), cap_(Cap(block_size, policy)), policy_(policy) {
+  for (const Candidate& c : candidates) {
+    if (c.has_room) groups_[c.missing_gb].push_back(c);
+  }
+  for (auto& [missing, group] : groups_) std::make_heap(group.begin(), group.end(), Later);
+}
+
+size_t Picker::Best() {
+  const Candidate* best = nullptr;
+  bool best_passes = false;
+  for (const auto& [missing, group] : groups_) {
+    if (group.empty()) continue;
+    const Candidate& c = group.front();
+    const bool passes = Share(c, pool_gb_) <= cap_;
+    if (best != nullptr) {
+      if (best_passes && !passes) continue;
+      if (best_passes == passes) {
+        const double ours = Score(c, pool_gb_, policy_);
+        const double theirs = Score(*best, pool_gb_, policy_);
+        if (ours < theirs || (ours == theirs && c.machine > best->machine)) continue;
+      }
+    }
+    best = &c;
+    best_passes = passes;
+    chosen_ = missing;
+  }
+  return best == nullptr ? kNone : best->machine;
+}
+
+void Picker::Placed(double held_gb, bool has_room) {
+  Candidate c = Take();
+  pool_gb_ += held_gb - c.held_gb;
+  c.held_gb = held_gb;
+  c.missing_gb = 0;
+  if (has_room) Put(c);
+}
+
+void Picker::Drop() { Take(); }
+
+Candidate Picker::Take() {
+  Group& group = groups_[chosen_];
+  std::pop_heap(group.begin(), group.end(), Later);
+  const Candidate c = group.back();
+  group.pop_back();
+  return c;
+}
+
+void Picker::Put(const Candidate& c) {
+  Group& group = groups_[c.missing_gb];
+  group.push_back(c);
+  std::push_heap(group.begin(), group.end(), Later);
+}
+
 std::vector<size_t> BestDistinct(const std::vector<Candidate>& candidates, size_t replicas,
                                  double pool_gb, size_t block_size, const Policy& policy) {
   auto pass = Passing(candidates, pool_gb, block_size, policy);
--- a/src/service/cloud.cc
+++ b/src/service/cloud.cc
@@ -25,8 +25,8 @@
 
 CloudClient::CloudClient(asio::io_context& io, const config::Settings& s, const config::Derived& d)
     : derived_(d),
-      http_(io, s.cloud_address, {.max_connections = 3, .max_queue = 32}),
-      budget_(s.cloud_rps * 0.8, std::max(1.0, s.cloud_rps)) {}
+      http_(io, s.cloud_address, {.max_connections = 8, .max_queue = 32}),
+      budget_(s.cloud_rps * 0.9, std::max(1.0, s.cloud_rps * 1.5)) {}
 
 double CloudClient::net_now() { return net::Now(); }
 
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kTypesEveryLeases = 3;
+constexpr double kPauseRatio = 3;  // between passes, in the time that the last one took
 constexpr int kMostPerRent = 50;
 constexpr size_t kMostPerDelete = 100;
 
@@ -26,6 +27,8 @@
       token_(token),
       dispatcher_(settings, derived, token, net::Now()),
       tick_timer_(io),
+      kick_timer_(io),
+      rent_timer_(io),
       flush_timer_(io),
       fleet_timer_(io),
       list_timer_(io),
@@ -46,6 +49,8 @@
 void Leader::Stop() {
   stopped_ = true;
   tick_timer_.Cancel();
+  kick_timer_.Cancel();
+  rent_timer_.Cancel();
   flush_timer_.Cancel();
   fleet_timer_.Cancel();
   list_timer_.Cancel();
@@ -71,12 +76,18 @@
 void Leader::Kick() {
   if (kicked_) return;
   kicked_ = true;
-  asio::post(io_, [self = shared_from_this()] {
+  // Reports, renewals and users come first: a pass over the waiting jobs is made now and then, and
+  // takes a limited part of the time however long it is.
+  kick_timer_.After(next_place_ - net::Now(), [self = shared_from_this()] {
     self->kicked_ = false;
     if (!self->Entitled()) return;
-    self->dispatcher_.Place(net::Now());
+    const double begun = net::Now();
+    self->dispatcher_.Place(begun);
     self->WriteCompletions();
     self->SendDirect();
+    if (self->dispatcher_.wants_machines()) self->PlanSoon();
+    const double now = net::Now();
+    self->next_place_ = now + std::max(self->derived_.place_gap_s, kPauseRatio * (now - begun));
   });
 }
 
@@ -187,11 +198,19 @@
       });
 }
 
+// Work that finds no room asks for machines at once, not at the next regular plan.
+void Leader::PlanSoon() {
+  if (!rents_.empty()) return;
+  fleet_timer_.After(last_plan_ + derived_.plan_gap_s - net::Now(),
+                     [self = shared_from_this()] { self->PlanFleet(); });
+}
+
 void Leader::PlanFleet() {
   fleet_timer_.After(std::max(1.0, settings_.report_s / 2),
                      [self = shared_from_this()] { self->PlanFleet(); });
   if (!Entitled()) return;
   const double now = net::Now();
+  last_plan_ = now;
   fleet::Plan plan = dispatcher_.PlanFleet(now);
   if (rents_.empty() && dispatcher_.settled()) {
     for (const fleet::Wish& w : plan.rent) {
@@ -228,6 +247,11 @@
 
 void Leader::SendRents() {
   const double now = net::Now();
+  if (!rents_.empty()) {
+    rent_timer_.After(1 / settings_.cloud_rps, [self = shared_from_this()] {
+      if (self->Entitled()) self->SendRents();
+    });
+  }
   for (auto& p : rents_) {
     if (p.in_flight || now < p.not_before || !cloud_.MayAsk()) continue;
     p.in_flight = true;
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -115,7 +115,7 @@
       if (leader_) {
         const double age = std::max(0.0, WallSeconds() - job->submitted_wall_s);
         spdlog::debug("jobs: {} accepted, {} tasks", job->spec.id, job->spec.tasks);
-        leader_->dispatcher().AddJob(job->spec, job->version, now - age, now);
+        leader_->dispatcher().AddJob(job->spec, job->version, now - age);
       }
     } else if (!e.value && leader_) {
       leader_->dispatcher().RemoveJob(e.key.substr(keys::kJobs.size()), now);
@@ -166,7 +166,7 @@
   }
   const double wall = WallSeconds();
   for (const auto& [id, job] : jobs_.live()) {
-    d.AddJob(job.spec, job.version, now - std::max(0.0, wall - job.submitted_wall_s), now);
+    d.AddJob(job.spec, job.version, now - std::max(0.0, wall - job.submitted_wall_s));
   }
   spdlog::info("takeover: token={} jobs={} settled={}", token, jobs_.live().size(), d.settled());
   // Started from the loop: the mirror may be in the middle of a batch.
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -88,6 +88,43 @@
   }
 }
 
+// Task after task, the fast choice is the one that a full look at all machines makes.
+TEST(LayerLocality, ThePickerChoosesAsBestDoes) {
+  std::mt19937_64 random(8);
+  for (int round = 0; round < 3000; ++round) {
+    const Policy policy{1.0 + static_cast<double>(random() % 20) / 10, 1e-3};
+    std::vector<Candidate> all(1 + random() % 30);
+    std::vector<int> slots(all.size());
+    double pool_gb = 0;
+    for (size_t m = 0; m < all.size(); ++m) {
+      slots[m] = static_cast<int>(random() % 4);
+      all[m] = {m, 0.5 * static_cast<double>(random() % 3),
+                0.25 * static_cast<double>(random() % 60), slots[m] > 0};
+      pool_gb += all[m].held_gb;
+    }
+    Picker picker(all, pool_gb, all.size(), policy);
+    for (int task = 0; task < 60; ++task) {
+      const size_t expected = Best(all, pool_gb, all.size(), policy);
+      ASSERT_EQ(picker.Best(), expected) << "round " << round << " task " << task;
+      if (expected == kNone) break;
+      Candidate& c = all[expected];
+      if (random() % 5 == 0) {
+        c.has_room = false;
+        picker.Drop();
+        continue;
+      }
+      // The image comes, others may have to go.
+      const double held =
+          std::max(0.5, c.held_gb + c.missing_gb - 0.25 * static_cast<double>(random() % 4));
+      pool_gb += held - c.held_gb;
+      c.held_gb = held;
+      c.missing_gb = 0;
+      c.has_room = --slots[expected] > 0;
+      picker.Placed(held, c.has_room);
+    }
+  }
+}
+
 TEST(LayerLocality, EmptyPoolCountsNoShare) {
   EXPECT_EQ(Best({{0, 2, 0, true}, {1, 2, 0, true}}, 0, 2, Policy{}), 0u);
 }
@@ -160,6 +197,7 @@
     r.seq = ++seq_[id];
     r.token = token;
     r.tasks = std::move(tasks);
+    d_.Place(now);  // the leader's duty
     return d_.OnReport(r, now);
   }
 
@@ -187,7 +225,7 @@
 };
 
 TEST_F(DispatcherTest, StartsNothingOnAMachineThatIsNotRecordedYet) {
-  d_.AddJob(Job(1, 2, 1, wire::Rank::kNormal), 11, 0, 0);
+  d_.AddJob(Job(1, 2, 1, wire::Rank::kNormal), 11, 0);
   EXPECT_TRUE(Only(Report("vm-1", 1), wire::Op::kStart).empty());
   Ready("vm-1", 1);
   EXPECT_EQ(Only(Report("vm-1", 2), wire::Op::kStart).size(), 2u);
@@ -195,8 +233,8 @@
 
 TEST_F(DispatcherTest, HigherRanksTakeTheRoomFirst) {
   Ready("vm-1", 0);
-  d_.AddJob(Job(1, 4, 1, wire::Rank::kLow), 11, 0, 0);
-  d_.AddJob(Job(2, 3, 1, wire::Rank::kHigh), 12, 0, 0);
+  d_.AddJob(Job(1, 4, 1, wire::Rank::kLow), 11, 0);
+  d_.AddJob(Job(2, 3, 1, wire::Rank::kHigh), 12, 0);
   const auto starts = Only(Report("vm-1", 1), wire::Op::kStart);
   ASSERT_EQ(starts.size(), 4u);
   EXPECT_EQ(std::count_if(starts.begin(), starts.end(),
@@ -208,7 +246,7 @@
   Ready("vm-1", 0);
   auto gang = Job(1, 6, 1, wire::Rank::kNormal);
   gang.kind = wire::Kind::kGang;
-  d_.AddJob(gang, 11, 0, 0);
+  d_.AddJob(gang, 11, 0);
   EXPECT_TRUE(Only(Report("vm-1", 1), wire::Op::kStart).empty());  // four of six would fit
   Ready("vm-2", 1);
   const size_t first = Only(Report("vm-1", 2), wire::Op::kStart).size();
@@ -217,7 +255,7 @@
 
 TEST_F(DispatcherTest, NoAttemptIsUsedTwice) {
   Ready("vm-1", 0);
-  d_.AddJob(Job(1, 1, 1, wire::Rank::kNormal), 11, 0, 0);
+  d_.AddJob(Job(1, 1, 1, wire::Rank::kNormal), 11, 0);
   std::set<uint64_t> attempts;
   double now = 1;
   for (int i = 0; i < 10; ++i) {
@@ -230,7 +268,7 @@
 
 TEST_F(DispatcherTest, DoneTasksAreForgottenOnlyOnceDurable) {
   Ready("vm-1", 0);
-  d_.AddJob(Job(1, 2, 1, wire::Rank::kNormal), 11, 0, 0);
+  d_.AddJob(Job(1, 2, 1, wire::Rank::kNormal), 11, 0);
   const auto starts = Only(Report("vm-1", 1), wire::Op::kStart);
   ASSERT_EQ(starts.size(), 2u);
   const std::vector<wire::TaskReport> done{
@@ -264,9 +302,10 @@
 
 TEST_F(DispatcherTest, OldJobsWaitForTheTakeoverButNewOnesDoNot) {
   d_.LoadMachines(0, wire::Json{{"vm-1", "a"}, {"vm-2", "a"}});
-  d_.AddJob(Job(1, 1, 1, wire::Rank::kHigh), 9, 0, 0);
-  d_.AddJob(Job(2, 1, 1, wire::Rank::kLow), 11, 0, 0);
-  const auto starts = Only(Report("vm-1", 1), wire::Op::kStart);
+  d_.AddJob(Job(1, 1, 1, wire::Rank::kHigh), 9, 0);
+  d_.AddJob(Job(2, 1, 1, wire::Rank::kLow), 11, 0);
+  Report("vm-1", 1);
+  const auto starts = Only(Report("vm-1", 1.5), wire::Op::kStart);
   ASSERT_EQ(starts.size(), 1u);
   EXPECT_EQ(starts[0].task.job, "req-2");
   EXPECT_FALSE(d_.settled());
@@ -280,11 +319,11 @@
 // that the starts in that answer were lost; they ran twice.
 TEST_F(DispatcherTest, DirectAnswersDoNotJudgeStartsOfReports) {
   Ready("vm-1", 0);
-  d_.AddJob(Job(1, 1, 1, wire::Rank::kNormal), 11, 0, 0);
+  d_.AddJob(Job(1, 1, 1, wire::Rank::kNormal), 11, 0);
   d_.Place(1);
   const auto orders = d_.TakeDirect(1);
   ASSERT_EQ(orders.size(), 1u);
-  d_.AddJob(Job(2, 1, 1, wire::Rank::kNormal), 12, 0, 0);
+  d_.AddJob(Job(2, 1, 1, wire::Rank::kNormal), 12, 0);
   ASSERT_EQ(Only(Report("vm-1", 1.1), wire::Op::kStart).size(), 1u);  // on its way to the worker
   wire::Report direct;
   direct.machine = "vm-1";
@@ -299,7 +338,7 @@
 
 TEST_F(DispatcherTest, AStartWithoutAnswerIsOverOnlyUnderAHigherToken) {
   Ready("vm-1", 0);
-  d_.AddJob(Job(1, 1, 1, wire::Rank::kNormal), 11, 0, 0);
+  d_.AddJob(Job(1, 1, 1, wire::Rank::kNormal), 11, 0);
   d_.Place(1);
   const auto orders = d_.TakeDirect(1);
   ASSERT_EQ(orders.size(), 1u);
@@ -310,14 +349,15 @@
   d_.Tick(3);
   EXPECT_EQ(Report("vm-1", 3.5).token, 30u);
   EXPECT_EQ(d_.Counts("req-1").running, 1u);
-  const auto starts = Only(Report("vm-1", 4, {}, 30), wire::Op::kStart);
+  Report("vm-1", 4, {}, 30);
+  const auto starts = Only(Report("vm-1", 4.5, {}, 30), wire::Op::kStart);
   ASSERT_EQ(starts.size(), 1u);  // surely not there: started anew
   EXPECT_NE(starts[0].attempt, orders[0].commands[0].attempt);
 }
 
 TEST_F(DispatcherTest, LateReportsOfALostMachineAreVoid) {
   Ready("vm-1", 0);
-  d_.AddJob(Job(1, 1, 1, wire::Rank::kNormal), 11, 0, 0);
+  d_.AddJob(Job(1, 1, 1, wire::Rank::kNormal), 11, 0);
   const auto starts = Only(Report("vm-1", 1), wire::Op::kStart);
   ASSERT_EQ(starts.size(), 1u);
   d_.Tick(1 + derived_.gone_s + 0.1);
@@ -330,7 +370,7 @@
 
 TEST_F(DispatcherTest, AMachineThatIsFarSlowerIsPutAside) {
   for (const char* id : {"vm-1", "vm-2", "vm-3"}) Ready(id, 0);
-  for (int i = 0; i < 4; ++i) d_.AddJob(Job(10 + i, 30, 1, wire::Rank::kNormal), 11, 0, 0);
+  for (int i = 0; i < 4; ++i) d_.AddJob(Job(10 + i, 30, 1, wire::Rank::kNormal), 11, 0);
   // vm-3 takes 60 s for what takes the others 12.
   std::map<std::string, std::map<std::pair<wire::TaskId, uint64_t>, double>> began;
   for (double now = 1; now < 400; now += 1) {
@@ -360,7 +400,7 @@
 
 TEST_F(DispatcherTest, AJobThatFailsEverywhereCondemnsNoMachineAndDoesNotSpin) {
   for (const char* id : {"vm-1", "vm-2", "vm-3"}) Ready(id, 0);
-  d_.AddJob(Job(1, 6, 1, wire::Rank::kNormal), 11, 0, 0);
+  d_.AddJob(Job(1, 6, 1, wire::Rank::kNormal), 11, 0);
   size_t starts = 0;
   std::map<std::string, std::vector<wire::TaskReport>> failed;
   for (double now = 1; now < 200; now += 1) {
--- a/tests/standins/controller.cc
+++ b/tests/standins/controller.cc
@@ -109,7 +109,7 @@
     if (!key.starts_with("job/")) continue;
     const std::string id = key.substr(4);
     if (dispatcher_->FindJob(id) == nullptr) {
-      dispatcher_->AddJob(world_.specs[id], pair.version, Now(), Now());
+      dispatcher_->AddJob(world_.specs[id], pair.version, Now());
     }
   }
   std::vector<std::string> over;
@@ -145,7 +145,7 @@
   }
   for (const auto& [key, pair] : pairs) {
     if (!key.starts_with("job/")) continue;
-    dispatcher_->AddJob(world_.specs[key.substr(4)], pair.version, Now(), Now());
+    dispatcher_->AddJob(world_.specs[key.substr(4)], pair.version, Now());
   }
 }
 
