Records: few writes, conditional on their versions; hopeless work last, longest first

Reading the code showed worse: a record's write that got no answer may be done minutes later, after newer ones of the same leader, and would take machines out of the list that a successor waits for. And what had lost all its aims ran ahead of lower work that could keep its own, its longest tasks last.

Change: packs fill a value, done tasks are bit maps, packs are written in turn under the versions known; durable is what stands in the packs that were written, even when others are dirty again. Jobs yield 45 (was 15) times the time they would take the pool; jobs without hope go last, the longest tasks first; a young job waits up to half a fetch for room where its image is.

--- a/include/mosspath/jobs/job.h
+++ b/include/mosspath/jobs/job.h
@@ -48,13 +48,12 @@
   bool MarkDone(uint32_t index);
 };
 
-// Done tasks are recorded in segments, each as a list of closed ranges.
+// Done tasks are recorded in segments, each as a bit map in hexadecimal digits, the first task in
+// the first digit's highest bit; zeros at the end are left out.
 inline constexpr uint32_t kSegment = 512;
 std::string SegmentName(const std::string& job, uint32_t segment);
-// Splits a segment's name; returns false when it is not one.
-bool ParseSegmentName(const std::string& name, std::string* job, uint32_t* segment);
-wire::Json DoneRanges(const Job& job, uint32_t segment);
+wire::Json DoneBits(const Job& job, uint32_t segment);
 // Marks the tasks that a recorded segment says are done, as durable.
-void ApplyRanges(const wire::Json& ranges, uint32_t segment, Job* job);
+void ApplyBits(const wire::Json& bits, uint32_t segment, Job* job);
 
 }  // namespace mosspath::jobs
--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -58,8 +58,8 @@
              double now);
 
   // --- Taking over ---
-  void LoadProgress(int pack, const wire::Json& value);
-  void LoadMachines(int pack, const wire::Json& value);
+  void LoadProgress(int pack, const wire::Json& value, uint64_t version);
+  void LoadMachines(int pack, const wire::Json& value, uint64_t version);
   void SetTypes(std::vector<wire::MachineType> types);
   // Every place that tasks of earlier leaders could be at is known.
   bool settled() const { return inherited_ == 0; }
@@ -78,8 +78,6 @@
   std::vector<DirectOrder> TakeDirect(double now);
   void OnDirect(const DirectOrder& order, DirectOutcome outcome, const wire::Report* report,
                 double now);
-  // A write conditional on the leader key was done: its revision may serve as a higher token.
-  void Wrote(uint64_t revision) { newest_revision_ = std::max(newest_revision_, revision); }
   void MachineDeleted(const std::string& id, double now);
   void MachineDeleting(const std::string& id);
   void DeletionFailed(const std::string& id);
@@ -99,14 +97,19 @@
   // Jobs came that no plan has seen yet.
   bool wants_machines() const { return wants_machines_; }
 
-  // --- Records to write; conditional on the leader key ---
-  state::PackedMap& progress() { return progress_; }
-  state::PackedMap& machines_record() { return machines_record_; }
-  // Called when the packs taken before are durable.
-  void ProgressDurable();
-  void SnapshotProgress();
-  void MachinesDurable();
-  void SnapshotMachines();
+  // --- Records to write; conditional on the leader key and on the packs' versions ---
+  struct Records {
+    std::vector<state::PackedMap::Written> machines;
+    std::vector<state::PackedMap::Written> progress;
+    bool empty() const { return machines.empty() && progress.empty(); }
+  };
+  // What should be written now, in one transaction; none while the last one taken is out.
+  Records TakeRecords(size_t most, size_t bytes);
+  void RecordsWritten(uint64_t revision);
+  void RecordsFailed();
+  // The state service shows a pack of ours under this version.
+  void SeenProgress(int pack, uint64_t version) { progress_.Seen(pack, version); }
+  void SeenMachines(int pack, uint64_t version) { machines_record_.Seen(pack, version); }
 
   void Apply(const config::OperatorSettings& s);
 
@@ -169,6 +172,7 @@
   double ExpectedRun(const jobs::Job& job) const;
 
   void Trouble(double now, std::string what);
+  void TaskDone(jobs::Job& job, uint32_t index);
   void CountStart(jobs::Job& job, uint32_t index, double now);
 
   const config::Settings settings_;
@@ -209,9 +213,11 @@
   bool wants_machines_ = false;    // jobs came since the last plan
   state::PackedMap progress_;
   state::PackedMap machines_record_;
-  std::vector<std::pair<std::string, uint32_t>> progress_snapshot_;
-  std::vector<std::string> machines_snapshot_;
-  std::map<std::string, wire::Json> pending_progress_;  // segments loaded before their job
+  std::set<std::pair<std::string, uint32_t>> unstaged_;  // job, segment: not in progress_ yet
+  std::vector<std::pair<std::string, uint32_t>> writing_progress_;
+  std::vector<std::string> writing_machines_;
+  Records writing_;
+  std::map<std::string, std::vector<wire::Json>> pending_progress_;  // segments loaded before their job
 };
 
 }  // namespace mosspath::place
--- a/include/mosspath/service/leader.h
+++ b/include/mosspath/service/leader.h
@@ -68,7 +68,6 @@
   net::Timer list_timer_;
   net::Timer types_timer_;
   bool stopped_ = false;
-  bool flushing_ = false;
   std::vector<wire::ListedMachine> listed_;  // pages so far
   double list_asked_ = 0;
   double flush_not_before_ = 0;
--- a/include/mosspath/service/node.h
+++ b/include/mosspath/service/node.h
@@ -64,7 +64,8 @@
   std::shared_ptr<Leader> leader_;
   std::vector<wire::MachineType> types_;
   std::string published_types_;
-  std::map<std::string, wire::Json> packs_;  // progress and machine records as mirrored
+  // Progress and machine records as mirrored, with their versions.
+  std::map<std::string, std::pair<wire::Json, uint64_t>> packs_;
   net::Timer types_timer_;
   net::Timer digest_timer_;
   net::Timer compare_timer_;
--- a/include/mosspath/state/packed_map.h
+++ b/include/mosspath/state/packed_map.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -14,26 +15,38 @@
 
 class PackedMap {
  public:
+  struct Written {
+    int pack = 0;
+    uint64_t version = 0;  // that the stored pack must still have: a late write of ours must fail
+    wire::Json value;
+  };
+
   explicit PackedMap(size_t pack_bytes) : limit_(pack_bytes) {}
 
   // Takes over a pack as read from the state service.
-  void Load(int pack, const wire::Json& value);
+  void Load(int pack, const wire::Json& value, uint64_t version);
   void Set(const std::string& item, wire::Json value);
   // `lazily`: the stored pack may keep the item until it is next written anyway.
   void Erase(const std::string& item, bool lazily);
   // The item's pack is to be written again as it is.
   void Touch(const std::string& item);
   bool Has(const std::string& item) const { return where_.contains(item); }
+  // The pack that holds the item, or -1.
+  int PackOf(const std::string& item) const;
 
   bool dirty() const { return !dirty_.empty(); }
-  // Up to `most` packs that need writing; they count as clean until MarkDirty.
-  std::vector<std::pair<int, wire::Json>> TakeDirty(size_t most);
+  // Packs that need writing, up to `most` and about `bytes` in all, one at least; they count as
+  // clean until MarkDirty.
+  std::vector<Written> TakeDirty(size_t most, size_t bytes);
   void MarkDirty(int pack) { dirty_.insert(pack); }
+  // The stored pack is known to have this version.
+  void Seen(int pack, uint64_t version);
 
  private:
   struct Pack {
     std::map<std::string, wire::Json> items;
     size_t bytes = 2;
+    uint64_t version = 0;
   };
   static size_t Cost(const std::string& item, const wire::Json& value);
 
@@ -41,6 +54,7 @@
   std::map<int, Pack> packs_;
   std::map<std::string, int> where_;
   std::set<int> dirty_;
+  int next_ = 0;
 };
 
 }  // namespace mosspath::state
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -1,6 +1,7 @@
 #include "mosspath/jobs/job.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace mosspath::jobs {
@@ -24,39 +25,34 @@
   return job + "#" + std::to_string(segment);
 }
 
-bool ParseSegmentName(const std::string& name, std::string* job, uint32_t* segment) {
-  const size_t mark = name.find('#');
-  if (mark == std::string::npos || mark + 1 == name.size() || name.size() - mark > 8) return false;
-  if (name.find_first_not_of("0123456789", mark + 1) != std::string::npos) return false;
-  *job = name.substr(0, mark);
-  *segment = static_cast<uint32_t>(std::stoul(name.substr(mark + 1)));
-  return true;
-}
-
-wire::Json DoneRanges(const Job& job, uint32_t segment) {
-  wire::Json ranges = wire::Json::array();
+wire::Json DoneBits(const Job& job, uint32_t segment) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string bits;
   const uint32_t first = segment * kSegment;
   const uint32_t last = std::min(job.spec.tasks, first + kSegment);
-  for (uint32_t i = first; i < last; ++i) {
-    if (job.tasks[i].phase != Phase::kDone) continue;
-    uint32_t j = i;
-    while (j + 1 < last && job.tasks[j + 1].phase == Phase::kDone) ++j;
-    ranges.push_back(i - first);
-    ranges.push_back(j - first);
-    i = j;
+  for (uint32_t i = first; i < last; i += 4) {
+    unsigned digit = 0;
+    for (uint32_t k = i; k < i + 4; ++k) {
+      digit = digit << 1 | (k < last && job.tasks[k].phase == Phase::kDone ? 1U : 0U);
+    }
+    bits.push_back(kDigits[digit]);
   }
-  return ranges;
+  bits.resize(bits.find_last_not_of('0') + 1);
+  return bits;
 }
 
-void ApplyRanges(const wire::Json& ranges, uint32_t segment, Job* job) {
-  if (!ranges.is_array()) return;
-  const uint64_t first = uint64_t{segment} * kSegment;
-  for (size_t r = 0; r + 1 < ranges.size(); r += 2) {
-    if (!ranges[r].is_number_unsigned() || !ranges[r + 1].is_number_unsigned()) return;
-    const uint64_t to = std::min<uint64_t>(ranges[r + 1].get<uint64_t>(), kSegment - 1);
-    for (uint64_t i = ranges[r].get<uint64_t>(); i <= to; ++i) {
-      if (first + i >= job->spec.tasks) return;
-      const auto index = static_cast<uint32_t>(first + i);
+void ApplyBits(const wire::Json& bits, uint32_t segment, Job* job) {
+  if (!bits.is_string()) return;
+  const auto& text = bits.get_ref<const std::string&>();
+  if (text.size() > kSegment / 4) return;
+  for (size_t d = 0; d < text.size(); ++d) {
+    unsigned digit = 0;
+    const auto [end, error] = std::from_chars(text.data() + d, text.data() + d + 1, digit, 16);
+    if (error != std::errc{}) return;
+    for (unsigned k = 0; k < 4; ++k) {
+      const uint64_t i = uint64_t{segment} * kSegment + 4 * d + k;
+      if ((digit >> (3 - k) & 1) == 0 || i >= job->spec.tasks) continue;
+      const auto index = static_cast<uint32_t>(i);
       job->tasks[index].durable = true;
       job->MarkDone(index);
       job->unsaved.erase(index);
--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -24,7 +24,7 @@
 constexpr double kPackFill = 0.7;
 
 double PackBytes(const config::Settings& s) {
-  return std::min(s.value_kb * 1024 * kPackFill, 48.0 * 1024 / s.txn_ops);
+  return std::min(s.value_kb * 1024 * kPackFill, 32.0 * 1024);  // well below what a request may hold
 }
 
 }  // namespace
@@ -47,15 +47,16 @@
   }
 }
 
-void Dispatcher::LoadProgress(int pack, const wire::Json& value) {
+void Dispatcher::LoadProgress(int pack, const wire::Json& value, uint64_t version) {
   if (!value.is_object()) return;
-  progress_.Load(pack, value);
-  for (const auto& [name, ranges] : value.items()) pending_progress_[name] = ranges;
+  progress_.Load(pack, value, version);
+  // A segment that moved to another pack may stand in the old one too, as it was then.
+  for (const auto& [name, bits] : value.items()) pending_progress_[name].push_back(bits);
 }
 
-void Dispatcher::LoadMachines(int pack, const wire::Json& value) {
+void Dispatcher::LoadMachines(int pack, const wire::Json& value, uint64_t version) {
   if (!value.is_object()) return;
-  machines_record_.Load(pack, value);
+  machines_record_.Load(pack, value, version);
   for (const auto& [id, zone] : value.items()) {
     Machine& m = machines_[id];
     m.in_record = m.recorded = true;
@@ -122,7 +123,7 @@
   for (uint32_t s = 0; s < segments; ++s) {
     auto it = pending_progress_.find(jobs::SegmentName(job.spec.id, s));
     if (it == pending_progress_.end()) continue;
-    jobs::ApplyRanges(it->second, s, &job);
+    for (const auto& bits : it->second) jobs::ApplyBits(bits, s, &job);
     pending_progress_.erase(it);
   }
   if (job.spec.kind == wire::Kind::kArray && job.spec.rank >= wire::Rank::kHigh) {
@@ -504,39 +505,74 @@
   return now - blind_since_ > settings_.report_s / 2;
 }
 
-void Dispatcher::SnapshotProgress() {
-  progress_snapshot_.clear();
-  for (auto& [id, job] : jobs_) {
-    for (uint32_t i : job->unsaved) progress_snapshot_.emplace_back(id, i);
+void Dispatcher::TaskDone(Job& job, uint32_t index) {
+  if (job.MarkDone(index)) unstaged_.emplace(job.spec.id, index / jobs::kSegment);
+}
+
+Dispatcher::Records Dispatcher::TakeRecords(size_t most, size_t bytes) {
+  if (!writing_.empty()) return {};
+  for (const auto& [id, segment] : unstaged_) {
+    if (const Job* job = Find(id)) {
+      progress_.Set(jobs::SegmentName(id, segment), jobs::DoneBits(*job, segment));
+    }
+  }
+  unstaged_.clear();
+  // Machines first: nothing starts on one before its entry is durable.
+  writing_.machines = machines_record_.TakeDirty(most, bytes);
+  std::set<int> packs;
+  for (const auto& w : writing_.machines) {
+    packs.insert(w.pack);
+    bytes -= std::min(bytes, w.value.dump().size());
+  }
+  for (const auto& [id, m] : machines_) {
+    if (m.in_record && !m.recorded && packs.contains(machines_record_.PackOf(id))) {
+      writing_machines_.push_back(id);
+    }
+  }
+  if (writing_.machines.size() < most && bytes > 0) {
+    writing_.progress = progress_.TakeDirty(most - writing_.machines.size(), bytes);
+  }
+  packs.clear();
+  for (const auto& w : writing_.progress) packs.insert(w.pack);
+  for (const auto& [id, job] : jobs_) {
+    for (const uint32_t i : job->unsaved) {
+      if (packs.contains(progress_.PackOf(jobs::SegmentName(id, i / jobs::kSegment)))) {
+        writing_progress_.emplace_back(id, i);
+      }
+    }
   }
+  return writing_;
 }
 
-void Dispatcher::ProgressDurable() {
-  for (const auto& [id, index] : progress_snapshot_) {
+void Dispatcher::RecordsWritten(uint64_t revision) {
+  // The revision of a write under the leader key may serve as a higher token.
+  newest_revision_ = std::max(newest_revision_, revision);
+  for (const auto& w : writing_.machines) machines_record_.Seen(w.pack, revision);
+  for (const auto& w : writing_.progress) progress_.Seen(w.pack, revision);
+  for (const auto& [id, index] : writing_progress_) {
     Job* job = Find(id);
     if (job == nullptr) continue;
     job->tasks[index].durable = true;
     job->unsaved.erase(index);
   }
-  progress_snapshot_.clear();
-}
-
-void Dispatcher::SnapshotMachines() {
-  machines_snapshot_.clear();
-  for (auto& [id, m] : machines_) {
-    if (m.in_record && !m.recorded) machines_snapshot_.push_back(id);
-  }
-}
-
-void Dispatcher::MachinesDurable() {
-  for (const auto& id : machines_snapshot_) {
-    // Gone and back in the meantime, its entry may have been written without it.
+  for (const auto& id : writing_machines_) {
+    // Gone and back in the meantime, it is in the record that was written all the same.
     if (auto it = machines_.find(id); it != machines_.end() && it->second.in_record) {
-      it->second.recorded = true;
+      it->second.recorded = it->second.todo = true;
     }
   }
-  machines_snapshot_.clear();
-  dirty_ = true;
+  dirty_ = dirty_ || !writing_machines_.empty();
+  writing_ = {};
+  writing_progress_.clear();
+  writing_machines_.clear();
+}
+
+void Dispatcher::RecordsFailed() {
+  for (const auto& w : writing_.machines) machines_record_.MarkDirty(w.pack);
+  for (const auto& w : writing_.progress) progress_.MarkDirty(w.pack);
+  writing_ = {};
+  writing_progress_.clear();
+  writing_machines_.clear();
 }
 
 }  // namespace mosspath::place
--- a/src/place/dispatcher_place.cc
+++ b/src/place/dispatcher_place.cc
@@ -23,8 +23,10 @@
 constexpr uint16_t kMaxAttempts = 0xffff;
 constexpr double kCheapLoss = 0.12;  // of its run time, that a task may lose for higher work
 constexpr double kAged = 0.4;        // of its aim, after which waiting low work counts as normal
+constexpr double kFetchWait = 2;  // of a job's age, that a fetch may take: a young one waits for
+                                  // room where its image is
 constexpr double kPatience = 3;  // how long a job's turn may wait to save a fetch, in such fetches
-constexpr double kYield = 15;    // how far a job yields, in multiples of the time it takes the pool
+constexpr double kYield = 45;    // how far a job yields, in multiples of the time it takes the pool
 
 }  // namespace
 
@@ -111,17 +113,24 @@
     // The nearest aim first, but what holds up many others yields: with too much work, most jobs
     // then still keep their aims. Those that can't keep any come last.
     const double work = (job->spec.tasks - job->done) * job->spec.cpus * ExpectedRun(*job);
-    const double turn = job->submitted + within + kYield * work / std::max(1.0, pool_cpus);
+    double turn = job->submitted + within + kYield * work / std::max(1.0, pool_cpus);
     // Low work that has waited for a good part of its aim takes its turn among normal work, or
     // steady normal work would starve it. It still preempts nothing.
     wire::Rank rank = job->spec.rank;
     if (rank == wire::Rank::kLow && !hopeless && now - job->submitted > kAged * within) {
       rank = wire::Rank::kNormal;
     }
+    int order = static_cast<int>(rank);
+    if (hopeless) {
+      // It may take any time now, so it goes after all that can keep an aim; but long tasks that
+      // begin last would hold machines, and the end of the day, for long.
+      turn = -ExpectedRun(*job);
+      if (rank < wire::Rank::kHigh) order = -1;
+    }
     const bool first = guaranteed.contains(job->spec.team);
     job->turn = turn;
-    job->turn_rank = (first ? 8 : 0) + 2 * static_cast<int>(rank) + (hopeless ? 0 : 1);
-    ranked.push_back({first, static_cast<int>(rank), hopeless, turn, job.get()});
+    job->turn_rank = (first ? 16 : 0) + 2 * order + (hopeless ? 0 : 1);
+    ranked.push_back({first, order, hopeless, turn, job.get()});
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
     if (a.first != b.first) return a.first;
@@ -324,6 +333,7 @@
     const wire::JobSpec& s = job.spec;
     return !job.pending.empty() && m.Fits(s.cpus, s.gpus, s.memory_gb) &&
            s.kind == wire::Kind::kArray && !s.one_zone && !s.spread && now >= job.not_before &&
+           FetchTime(job, m) <= kFetchWait * (now - job.submitted) &&
            Allowed(job, m, now) && MayPlace(job) > 0;
   };
   for (size_t i = 0; i < order_.size(); ++i) {
--- a/src/place/dispatcher_reports.cc
+++ b/src/place/dispatcher_reports.cc
@@ -244,10 +244,7 @@
         spdlog::debug("place: {} is done on {} by an earlier attempt", wire::TaskName(t.task),
                       m.id);
       }
-      if (job->MarkDone(t.task.index)) {
-        progress_.Set(jobs::SegmentName(t.task.job, t.task.index / jobs::kSegment),
-                      jobs::DoneRanges(*job, t.task.index / jobs::kSegment));
-      }
+      TaskDone(*job, t.task.index);
     }
     m.slots.emplace(key, std::move(slot));
     return;
@@ -286,10 +283,7 @@
   dirty_ = true;
   if (job != nullptr && slot.why == wire::Why::kDone) {
     Vacate(m, slot, task);
-    if (job->MarkDone(task.index)) {
-      progress_.Set(jobs::SegmentName(task.job, task.index / jobs::kSegment),
-                    jobs::DoneRanges(*job, task.index / jobs::kSegment));
-    }
+    TaskDone(*job, task.index);
     if (slot.running_since > 0 && !slot.adopted) TimeTask(m, *job, now - slot.running_since, now);
     job->failures = 0;
     job->not_before = 0;
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -10,6 +10,7 @@
 
 constexpr double kTypesEveryLeases = 3;
 constexpr double kPauseRatio = 3;  // between passes, in the time that the last one took
+constexpr size_t kMostRecordBytes = 48u << 10;  // a request may hold 64 KiB
 constexpr int kMostPerRent = 50;
 constexpr size_t kMostPerDelete = 100;
 
@@ -159,43 +160,29 @@
 
 void Leader::Flush() {
   flush_timer_.After(derived_.flush_s, [self = shared_from_this()] { self->Flush(); });
-  const double now = net::Now();
-  auto& progress = dispatcher_.progress();
-  auto& machines = dispatcher_.machines_record();
-  if (flushing_ || !Entitled() || now < flush_not_before_) return;
-  if (!progress.dirty() && !machines.dirty()) return;
-  flushing_ = true;
-  const auto most = static_cast<size_t>(settings_.txn_ops);
+  if (!Entitled() || net::Now() < flush_not_before_) return;
+  const auto records =
+      dispatcher_.TakeRecords(static_cast<size_t>(settings_.txn_ops), kMostRecordBytes);
+  if (records.empty()) return;
   state::Transaction txn;
   txn.conditions.push_back({keys::kLeader, token_});
-  auto machine_packs = machines.TakeDirty(most);
-  const bool all_machines = !machines.dirty();
-  if (all_machines) dispatcher_.SnapshotMachines();
-  auto progress_packs = progress.TakeDirty(most - machine_packs.size());
-  const bool all_progress = !progress.dirty();
-  if (all_progress) dispatcher_.SnapshotProgress();
-  for (auto& [pack, value] : machine_packs) {
-    txn.changes.push_back({keys::Machines(pack), std::move(value)});
-  }
-  for (auto& [pack, value] : progress_packs) {
-    txn.changes.push_back({keys::Progress(pack), std::move(value)});
-  }
-  state_.Commit(
-      std::move(txn), derived_.user_deadline_s,
-      [self = shared_from_this(), machine_packs = std::move(machine_packs),
-       progress_packs = std::move(progress_packs), all_machines, all_progress](state::TxnResult r) {
-        if (self->stopped_) return;
-        self->flushing_ = false;
-        if (r.outcome == state::Outcome::kDone) {
-          self->dispatcher_.Wrote(r.revision);
-          if (all_machines) self->dispatcher_.MachinesDurable();
-          if (all_progress) self->dispatcher_.ProgressDurable();
-          return;
-        }
-        for (const auto& p : machine_packs) self->dispatcher_.machines_record().MarkDirty(p.first);
-        for (const auto& p : progress_packs) self->dispatcher_.progress().MarkDirty(p.first);
-        self->flush_not_before_ = net::Now() + self->derived_.flush_s;
-      });
+  const auto put = [&](const std::string& key, const state::PackedMap::Written& w) {
+    txn.conditions.push_back({key, w.version});
+    txn.changes.push_back({key, w.value});
+  };
+  for (const auto& w : records.machines) put(keys::Machines(w.pack), w);
+  for (const auto& w : records.progress) put(keys::Progress(w.pack), w);
+  state_.Commit(std::move(txn), derived_.user_deadline_s,
+                [self = shared_from_this()](state::TxnResult r) {
+                  if (self->stopped_) return;
+                  if (r.outcome == state::Outcome::kDone) {
+                    return self->dispatcher_.RecordsWritten(r.revision);
+                  }
+                  // On a conflict an earlier write of ours was done without our knowing: the mirror
+                  // tells the versions.
+                  self->dispatcher_.RecordsFailed();
+                  self->flush_not_before_ = net::Now() + self->derived_.flush_s;
+                });
 }
 
 // Work that finds no room asks for machines at once, not at the next regular plan.
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -123,9 +123,15 @@
     return;
   }
   if (e.key.starts_with(keys::kProgress) || e.key.starts_with(keys::kMachines)) {
-    // Only a new leader needs them, and the present one wrote them itself.
+    // Only a new leader needs them; the present one wrote them itself, but may not know it.
+    const bool progress = e.key.starts_with(keys::kProgress);
+    if (leader_ && progress) {
+      leader_->dispatcher().SeenProgress(PackNumber(e.key, keys::kProgress), e.version);
+    } else if (leader_) {
+      leader_->dispatcher().SeenMachines(PackNumber(e.key, keys::kMachines), e.version);
+    }
     if (e.value) {
-      packs_[e.key] = *e.value;
+      packs_[e.key] = {*e.value, e.version};
     } else {
       packs_.erase(e.key);
     }
@@ -157,11 +163,12 @@
   place::Dispatcher& d = leader_->dispatcher();
   d.Apply(operator_settings_);
   if (!types_.empty()) d.SetTypes(types_);
-  for (const auto& [key, value] : packs_) {
+  for (const auto& [key, pack] : packs_) {
+    const auto& [value, version] = pack;
     if (key.starts_with(keys::kProgress)) {
-      d.LoadProgress(PackNumber(key, keys::kProgress), value);
+      d.LoadProgress(PackNumber(key, keys::kProgress), value, version);
     } else {
-      d.LoadMachines(PackNumber(key, keys::kMachines), value);
+      d.LoadMachines(PackNumber(key, keys::kMachines), value, version);
     }
   }
   const double wall = WallSeconds();
--- a/src/state/packed_map.cc
+++ b/src/state/packed_map.cc
@@ -1,13 +1,17 @@
 #include "mosspath/state/packed_map.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace mosspath::state {
 
 size_t PackedMap::Cost(const std::string& item, const wire::Json& value) {
   return item.size() + value.dump().size() + 4;
 }
 
-void PackedMap::Load(int pack, const wire::Json& value) {
+void PackedMap::Load(int pack, const wire::Json& value, uint64_t version) {
   Pack& p = packs_[pack];
+  p.version = version;
   for (const auto& [item, v] : value.items()) {
     p.items[item] = v;
     p.bytes += Cost(item, v);
@@ -52,14 +56,31 @@
   if (auto it = where_.find(item); it != where_.end()) dirty_.insert(it->second);
 }
 
-std::vector<std::pair<int, wire::Json>> PackedMap::TakeDirty(size_t most) {
-  std::vector<std::pair<int, wire::Json>> out;
+int PackedMap::PackOf(const std::string& item) const {
+  const auto it = where_.find(item);
+  return it == where_.end() ? -1 : it->second;
+}
+
+std::vector<PackedMap::Written> PackedMap::TakeDirty(size_t most, size_t bytes) {
+  std::vector<Written> out;
+  size_t taken = 0;
   while (!dirty_.empty() && out.size() < most) {
-    const int pack = *dirty_.begin();
-    dirty_.erase(dirty_.begin());
-    out.emplace_back(pack, wire::Json(packs_[pack].items));
+    // In turn, so that packs that are always dirty don't hold up the others.
+    auto it = dirty_.lower_bound(next_);
+    if (it == dirty_.end()) it = dirty_.begin();
+    const Pack& p = packs_[*it];
+    if (!out.empty() && taken + p.bytes > bytes) break;
+    taken += p.bytes;
+    next_ = *it + 1;
+    out.push_back({*it, p.version, wire::Json(p.items)});
+    dirty_.erase(it);
   }
   return out;
 }
 
+void PackedMap::Seen(int pack, uint64_t version) {
+  Pack& p = packs_[pack];
+  p.version = std::max(p.version, version);
+}
+
 }  // namespace mosspath::state
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -205,9 +205,12 @@
   void Ready(const std::string& id, double now) {
     Report(id, now);
     d_.Tick(now);
-    d_.SnapshotMachines();
-    d_.machines_record().TakeDirty(100);
-    d_.MachinesDurable();
+    Flush();
+  }
+
+  // All records that want writing are durable, under a revision below any that matters.
+  void Flush() {
+    while (!d_.TakeRecords(100, 48u << 10).empty()) d_.RecordsWritten(1);
   }
 
   static std::vector<wire::Command> Only(const ReportAnswer& a, wire::Op op) {
@@ -275,9 +278,7 @@
       {starts[0].task, starts[0].attempt, wire::TaskState::kExited, wire::Why::kDone, false},
       {starts[1].task, starts[1].attempt, wire::TaskState::kRunning, wire::Why::kNone, false}};
   EXPECT_TRUE(Only(Report("vm-1", 2, done), wire::Op::kForget).empty());
-  d_.SnapshotProgress();
-  d_.progress().TakeDirty(100);
-  d_.ProgressDurable();
+  Flush();
   EXPECT_EQ(Only(Report("vm-1", 3, done), wire::Op::kForget).size(), 1u);
 }
 
@@ -286,7 +287,7 @@
 TEST_F(DispatcherTest, InheritedMachinesAreNotTakenForFailedRentals) {
   Dispatcher fresh(settings_, derived_, 20, 100);
   fresh.SetTypes({});
-  fresh.LoadMachines(0, wire::Json{{"vm-1", "a"}, {"vm-2", "a"}, {"vm-3", "a"}, {"vm-4", "a"}});
+  fresh.LoadMachines(0, wire::Json{{"vm-1", "a"}, {"vm-2", "a"}, {"vm-3", "a"}, {"vm-4", "a"}}, 1);
   std::vector<wire::ListedMachine> listed;
   for (const char* id : {"vm-1", "vm-2", "vm-3", "vm-4"}) {
     listed.push_back({id, "box", "a", false, wire::MachineState::kRunning, 500});
@@ -301,7 +302,7 @@
 }
 
 TEST_F(DispatcherTest, OldJobsWaitForTheTakeoverButNewOnesDoNot) {
-  d_.LoadMachines(0, wire::Json{{"vm-1", "a"}, {"vm-2", "a"}});
+  d_.LoadMachines(0, wire::Json{{"vm-1", "a"}, {"vm-2", "a"}}, 1);
   d_.AddJob(Job(1, 1, 1, wire::Rank::kHigh), 9, 0);
   d_.AddJob(Job(2, 1, 1, wire::Rank::kLow), 11, 0);
   Report("vm-1", 1);
@@ -345,7 +346,9 @@
   d_.OnDirect(orders[0], DirectOutcome::kUnsure, nullptr, 2);
   Report("vm-1", 2.5);
   EXPECT_EQ(d_.Counts("req-1").running, 1u);  // may still be executed
-  d_.Wrote(30);
+  d_.Tick(2.6);  // wants a revision, and a write for one
+  ASSERT_FALSE(d_.TakeRecords(100, 48u << 10).empty());
+  d_.RecordsWritten(30);
   d_.Tick(3);
   EXPECT_EQ(Report("vm-1", 3.5).token, 30u);
   EXPECT_EQ(d_.Counts("req-1").running, 1u);
@@ -387,9 +390,7 @@
         if (c.op == wire::Op::kStart) began[id][key] = now;
         if (c.op == wire::Op::kForget || c.op == wire::Op::kStop) began[id].erase(key);
       }
-      d_.SnapshotProgress();
-      d_.progress().TakeDirty(100);
-      d_.ProgressDurable();
+      Flush();
     }
     d_.Tick(now + 0.5);
   }
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -111,9 +111,14 @@
   state::PackedMap map(300);
   std::map<std::string, wire::Json> stored;
   const auto flush = [&] {
-    for (const auto& [pack, v] : map.TakeDirty(100)) {
-      EXPECT_LE(v.dump().size(), 300u);
-      stored[std::to_string(pack)] = v;
+    while (map.dirty()) {
+      size_t bytes = 0;
+      for (const auto& w : map.TakeDirty(100, 500)) {
+        EXPECT_LE(w.value.dump().size(), 300u);
+        bytes += w.value.dump().size();
+        stored[std::to_string(w.pack)] = w.value;
+      }
+      EXPECT_LE(bytes, 500u);
     }
   };
   for (int i = 0; i < 60; ++i) {
@@ -125,7 +130,7 @@
   state::PackedMap again(300);
   size_t items = 0;
   for (const auto& [pack, v] : stored) {
-    again.Load(std::stoi(pack), v);
+    again.Load(std::stoi(pack), v, 1);
     items += v.size();
   }
   for (int i = 0; i < 40; ++i) {
@@ -136,7 +141,26 @@
   EXPECT_EQ(items, 0u);
 }
 
-TEST(Progress, RangesRoundTrip) {
+// A write that got no answer may be done minutes later, after newer ones of the same leader: it
+// would take machines out of the record that may run tasks. It must carry the version it knew.
+TEST(PackedMap, ALateWriteCarriesAnOldVersion) {
+  state::PackedMap map(300);
+  map.Set("vm-1", "a");
+  const auto late = map.TakeDirty(1, 300);
+  map.MarkDirty(0);  // no answer
+  map.Set("vm-2", "a");
+  const auto next = map.TakeDirty(1, 300);
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next[0].version, late[0].version);  // one of the two fails
+  map.Seen(0, 7);
+  map.Set("vm-3", "a");
+  EXPECT_EQ(map.TakeDirty(1, 300).at(0).version, 7u);
+  map.Seen(0, 5);  // an old event
+  map.Touch("vm-3");
+  EXPECT_EQ(map.TakeDirty(1, 300).at(0).version, 7u);
+}
+
+TEST(Progress, BitsRoundTrip) {
   wire::JobSpec spec;
   spec.id = "req-1";
   spec.tasks = 1200;
@@ -145,14 +169,15 @@
     if (i % 5 != 0 && i % 7 != 3) job.MarkDone(i);
   }
   jobs::Job copy(spec, 1, 0);
-  for (uint32_t s = 0; s < 3; ++s) jobs::ApplyRanges(jobs::DoneRanges(job, s), s, &copy);
+  for (uint32_t s = 0; s < 3; ++s) jobs::ApplyBits(jobs::DoneBits(job, s), s, &copy);
   EXPECT_EQ(copy.done, job.done);
   EXPECT_EQ(copy.pending, job.pending);
   EXPECT_TRUE(copy.unsaved.empty());
   // Hostile records change nothing they shouldn't.
-  jobs::ApplyRanges(wire::Json{0, "x"}, 0, &copy);
-  jobs::ApplyRanges(wire::Json{0, 4000000000u}, 5, &copy);
-  jobs::ApplyRanges(wire::Json{{"a", 1}}, 0, &copy);
+  jobs::ApplyBits(wire::Json("x"), 0, &copy);
+  jobs::ApplyBits(wire::Json("ff"), 5, &copy);
+  jobs::ApplyBits(wire::Json(std::string(200, 'f')), 0, &copy);
+  jobs::ApplyBits(wire::Json{{"a", 1}}, 0, &copy);
   EXPECT_EQ(copy.done, job.done);
 }
 
--- a/tests/standins/controller.cc
+++ b/tests/standins/controller.cc
@@ -38,7 +38,7 @@
   ++life_;
   clock_ = lease::GrantClock(derived_.grant_s, derived_.lapse_margin_s);
   grant_ = token_ = 0;
-  flushing_ = campaigning_ = false;
+  campaigning_ = false;
   dispatcher_.reset();
   Renew();
   Poll();
@@ -106,6 +106,8 @@
   }
   if (token_ != leader->second.version) return Elected(leader->second.version, pairs);
   for (const auto& [key, pair] : pairs) {
+    if (key.starts_with("progress/")) dispatcher_->SeenProgress(PackOf(key), pair.version);
+    if (key.starts_with("machines/")) dispatcher_->SeenMachines(PackOf(key), pair.version);
     if (!key.starts_with("job/")) continue;
     const std::string id = key.substr(4);
     if (dispatcher_->FindJob(id) == nullptr) {
@@ -136,12 +138,14 @@
 
 void Controller::Elected(uint64_t token, const Pairs& pairs) {
   token_ = token;
-  flushing_ = false;
   dispatcher_ = std::make_unique<place::Dispatcher>(world_.settings, derived_, token, Now());
   dispatcher_->SetTypes(world_.types);
   for (const auto& [key, pair] : pairs) {
-    if (key.starts_with("progress/")) dispatcher_->LoadProgress(PackOf(key), pair.value);
-    if (key.starts_with("machines/")) dispatcher_->LoadMachines(PackOf(key), pair.value);
+    if (key.starts_with("progress/")) {
+      dispatcher_->LoadProgress(PackOf(key), pair.value, pair.version);
+    } else if (key.starts_with("machines/")) {
+      dispatcher_->LoadMachines(PackOf(key), pair.value, pair.version);
+    }
   }
   for (const auto& [key, pair] : pairs) {
     if (!key.starts_with("job/")) continue;
@@ -233,48 +237,30 @@
 }
 
 void Controller::Flush() {
-  auto& progress = dispatcher_->progress();
-  auto& machines = dispatcher_->machines_record();
-  if (flushing_ || (!progress.dirty() && !machines.dirty())) return;
-  flushing_ = true;
+  const auto records = dispatcher_->TakeRecords(100, 48u << 10);
+  if (records.empty()) return;
+  std::vector<std::pair<std::string, uint64_t>> conditions{{kLeader, token_}};
   std::vector<std::pair<std::string, std::optional<wire::Json>>> changes;
-  dispatcher_->SnapshotMachines();
-  dispatcher_->SnapshotProgress();
-  for (auto& [pack, v] : machines.TakeDirty(100)) {
-    changes.emplace_back("machines/" + std::to_string(pack), v);
-  }
-  for (auto& [pack, v] : progress.TakeDirty(100)) {
-    changes.emplace_back("progress/" + std::to_string(pack), v);
-  }
-  const auto again = [this, changes] {
-    flushing_ = false;
-    for (const auto& [key, v] : changes) {
-      auto& map =
-          key.starts_with("machines/") ? dispatcher_->machines_record() : dispatcher_->progress();
-      map.MarkDirty(PackOf(key));
-    }
+  const auto put = [&](const std::string& prefix, const state::PackedMap::Written& w) {
+    conditions.emplace_back(prefix + std::to_string(w.pack), w.version);
+    changes.emplace_back(prefix + std::to_string(w.pack), w.value);
   };
+  for (const auto& w : records.machines) put("machines/", w);
+  for (const auto& w : records.progress) put("progress/", w);
   const uint64_t life = life_;
-  const uint64_t token = token_;
   auto answered = std::make_shared<bool>(false);
-  world_.clock.After(1.0, [this, life, token, answered, again] {  // no answer
+  const auto finish = [this, life, token = token_, answered](uint64_t revision) {
     if (*answered || life != life_ || token != token_ || !dispatcher_) return;
     *answered = true;
-    again();
-  });
-  Ask<uint64_t>(
-      [this, token, changes] {
-        return world_.state.Commit({{kLeader, token}}, changes);
-      },
-      [this, token, answered, again](uint64_t revision) {
-        if (*answered || token != token_ || !dispatcher_) return;
-        *answered = true;
-        if (revision == 0) return again();
-        flushing_ = false;
-        dispatcher_->Wrote(revision);
-        dispatcher_->MachinesDurable();
-        dispatcher_->ProgressDurable();
-      });
+    if (revision != 0) {
+      dispatcher_->RecordsWritten(revision);
+    } else {
+      dispatcher_->RecordsFailed();
+    }
+  };
+  world_.clock.After(1.0, [finish] { finish(0); });  // no answer
+  Ask<uint64_t>([this, conditions, changes] { return world_.state.Commit(conditions, changes); },
+                finish);
 }
 
 void Controller::SendDirect() {
--- a/tests/standins/controller.h
+++ b/tests/standins/controller.h
@@ -53,7 +53,6 @@
   uint64_t token_ = 0;
   uint64_t polls_ = 0;
   uint64_t seen_poll_ = 0;
-  bool flushing_ = false;
   bool campaigning_ = false;
   double hold_back_until_ = -1e18;
   int resigned_ = 0;
