No yielding for start aims; young tasks that save are neither moved nor preempted first

Change: the yield is for aims that count jobs; tasks are moved only after two checkpoints, and preempted last until then.

--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -166,7 +166,13 @@
   void MoveOff(double now);
   void LogSummary(double now);
   std::vector<jobs::Job*> Order(double now);
-  std::pair<bool, double> NextAim(const jobs::Job& job, double now) const;
+  struct Aim {
+    bool hopeless = false;  // none can be kept any more
+    double within = 0;      // of the submission, when it should be finished to keep the next
+    bool start = false;     // the aim is for the starts of its tasks
+  };
+  Aim NextAim(const jobs::Job& job, double now) const;
+  bool Settling(const jobs::Job& job, double ran) const;
   // Whether the job looks as if it failed on every machine.
   bool Doubtful(const jobs::Job& job) const;
   double ExpectedRun(const jobs::Job& job) const;
--- a/src/place/dispatcher_fleet.cc
+++ b/src/place/dispatcher_fleet.cc
@@ -45,7 +45,9 @@
       // Once only: what must be emptied changes all the time, and every move costs its task.
       if (job->tasks[key.first.index].moved) return false;
       if (job->spec.checkpoint_s <= 0 || job->spec.kind == wire::Kind::kGang) return false;
-      const double left = ExpectedRun(*job) - (now - slot.running_since);
+      const double ran = now - slot.running_since;
+      if (Settling(*job, ran)) return false;
+      const double left = ExpectedRun(*job) - ran;
       worth = worth || left > 2 * (job->spec.save_s + settings_.report_s);
       return true;
     });
--- a/src/place/dispatcher_place.cc
+++ b/src/place/dispatcher_place.cc
@@ -23,6 +23,7 @@
 constexpr uint16_t kMaxAttempts = 0xffff;
 constexpr double kCheapLoss = 0.12;  // of its run time, that a task may lose for higher work
 constexpr double kAged = 0.4;        // of its aim, after which waiting low work counts as normal
+constexpr double kSettled = 2;    // checkpoints' intervals
 constexpr double kFetchWait = 2;  // of a job's age, that a fetch may take: a young one waits for
                                   // room where its image is
 constexpr double kPatience = 3;  // how long a job's turn may wait to save a fetch, in such fetches
@@ -35,6 +36,11 @@
   return settled() || job.version > token_;
 }
 
+// A start that is stopped soon was none: it has hardly done or saved anything.
+bool Dispatcher::Settling(const Job& job, double ran) const {
+  return ran < kSettled * job.spec.checkpoint_s;
+}
+
 double Dispatcher::ExpectedRun(const Job& job) const { return std::max(1.0, job.spec.estimate_s); }
 
 size_t Dispatcher::TeamRoom(const Job& job) const {
@@ -59,14 +65,14 @@
 
 // Whether the job can't meet any of its aims any more, and the time within which the next one wants
 // it finished, as far as its tasks run as long as is expected.
-std::pair<bool, double> Dispatcher::NextAim(const Job& job, double now) const {
+Dispatcher::Aim Dispatcher::NextAim(const Job& job, double now) const {
   const double run = ExpectedRun(job);
   const double age = now - job.submitted;
   double last = -1;
-  double next = -1;
-  const auto consider = [&](double due) {
+  Aim next{true, -1, false};
+  const auto consider = [&](double due, bool start = false) {
     last = std::max(last, due);
-    if (age + run <= due && (next < 0 || due < next)) next = due;
+    if (age + run <= due && (next.hopeless || due < next.within)) next = {false, due, start};
   };
   const auto times = deadline_times_.find(job.spec.job_class);
   if (job.spec.deadline_s && times == deadline_times_.end()) consider(*job.spec.deadline_s);
@@ -77,10 +83,10 @@
     for (double within : it->second) consider(within);
   }
   if (auto it = start_aims_.find(job.spec.job_class); it != start_aims_.end()) {
-    for (double within : it->second) consider(within + run);
+    for (double within : it->second) consider(within + run, true);
   }
-  if (next >= 0) return {false, next};
-  return {last >= 0, last >= 0 ? last : settings_.lease_s * 8};
+  if (next.hopeless) next = {last >= 0, last >= 0 ? last : settings_.lease_s * 8, false};
+  return next;
 }
 
 std::vector<Job*> Dispatcher::Order(double now) {
@@ -109,11 +115,13 @@
   std::vector<Ranked> ranked;
   for (auto& [id, job] : jobs_) {
     if (job->pending.empty() || now < job->not_before || !MayStart(*job)) continue;
-    const auto [hopeless, within] = NextAim(*job, now);
+    const auto [hopeless, within, start] = NextAim(*job, now);
     // The nearest aim first, but what holds up many others yields: with too much work, most jobs
-    // then still keep their aims. Those that can't keep any come last.
+    // then still keep their aims. (Aims for starts count tasks, not jobs: there is nothing to gain.)
+    // Those that can't keep any come last.
     const double work = (job->spec.tasks - job->done) * job->spec.cpus * ExpectedRun(*job);
-    double turn = job->submitted + within + kYield * work / std::max(1.0, pool_cpus);
+    double turn = job->submitted + within;
+    if (!start) turn += kYield * work / std::max(1.0, pool_cpus);
     // Low work that has waited for a good part of its aim takes its turn among normal work, or
     // steady normal work would starve it. It still preempts nothing.
     wire::Rank rank = job->spec.rank;
@@ -398,7 +406,8 @@
           if (other == nullptr || other->spec.kind == wire::Kind::kGang) continue;  // one stops all
           const bool saves = other->spec.checkpoint_s > 0;
           const double ran = slot.running_since > 0 ? now - slot.running_since : 0;
-          const double loss = saves ? std::min(ran, other->spec.save_s) : ran;
+          double loss = saves ? std::min(ran, other->spec.save_s) : ran;
+          if (saves && Settling(*other, ran)) loss = 2 * other->spec.save_s;
           // Of losses alike, the lower work's weighs less.
           const double weight = 1 + 2 * static_cast<int>(other->spec.rank);
           victims.push_back({loss * slot.cpus * weight, &m, &slot, other});
