Shorter grants; a successor deletes the few machines that it has not heard of

A leader that lost the network was followed only after 13 s, when its grant of half a worker's lease ended.

Change: once all but 3% of the machines taken over have reported and those that look for the new leader had time to, the others are deleted, which rules them out at once. Grants last a quarter of a worker's lease. Ruled out: writing ahead which jobs may be on which machine; at this size it would rewrite all packs of the record every quarter of a second, 36 changes a second of 25.

--- a/include/mosspath/config/settings.h
+++ b/include/mosspath/config/settings.h
@@ -81,6 +81,7 @@
   double renew_s;          // how often the grant is renewed
   double lapse_margin_s;   // taken off the grant's life by its holder
   double gone_s;           // a machine unanswered for this long has dropped its tasks
+  double find_s;           // workers have found a new leader within this, mostly
   double silent_s;         // a machine unheard of for this long is suspect
   double flush_s;          // interval of the leader's batched writes
   double place_gap_s;      // least time between two passes over the waiting jobs
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -150,11 +150,14 @@
 }
 
 Derived::Derived(const Settings& s) {
-  // The grant ends well before the workers' leases do, so that a successor finds them working.
-  grant_s = s.lease_s / 2;
+  // The grant ends well before the workers' leases do, so that a successor finds them working; and
+  // soon, since nothing starts meanwhile.
+  grant_s = s.lease_s / 4;
   renew_s = grant_s / 6;
   lapse_margin_s = grant_s * (4 * kDrift) + 0.02 * grant_s;
   gone_s = s.lease_s * (1 + 4 * kDrift) + 0.02 * s.lease_s;
+  // After a takeover: a report, and as much again for those that have to find the new leader.
+  find_s = 1.25 * s.report_s + 2.0;
   silent_s = 2 * s.report_s + 4.0;  // a worker gives up on an answer after 4 s
   flush_s = std::max(0.25, 6.0 / s.state_write_rps);
   place_gap_s = s.report_s / 40;
--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -66,6 +66,7 @@
     m.inherited = true;
     m.last_answered = begun_;
     ++inherited_;
+    ++taken_over_;
   }
 }
 
--- a/src/place/dispatcher_fleet.cc
+++ b/src/place/dispatcher_fleet.cc
@@ -20,6 +20,7 @@
 constexpr double kBootPatience = 2.5;  // boot times after which a machine is given up
 constexpr double kLatelyBoots = 2;     // boot times, or
 constexpr double kLatelyReports = 10;  // reports, over which the largest urgent job counts
+constexpr double kStragglers = 0.03;   // of the machines taken over
 constexpr double kLeastLeft = 0.25;    // of its expected time, that a task is taken to run yet
 
 }  // namespace
@@ -109,8 +110,18 @@
     }
   }
   std::set<std::string> doomed;
+  // A successor starts nothing of earlier jobs before it has heard from every machine it took over.
+  // At any time some of many machines have just been taken by the cloud, so once nearly all have
+  // been heard the others are deleted: that is answered at once, and rules them out.
+  size_t unheard = 0;
+  for (const auto& [id, m] : machines_) unheard += m.inherited ? 1 : 0;
+  const bool stragglers =
+      unheard > 0 && now - begun_ > derived_.find_s &&
+      static_cast<double>(unheard) <= std::max(1.0, kStragglers * static_cast<double>(taken_over_));
+  std::vector<std::string> late;
   for (auto& [id, m] : machines_) {
     if (m.deleting) continue;
+    if (m.inherited && stragglers) late.push_back(id);
     if (m.address.empty()) {  // inherited and not heard of since
       if (now - m.last_answered > derived_.silent_s) doomed.insert(id);
       continue;
@@ -191,6 +202,12 @@
       plan.give_back.push_back(id);
     }
   }
+  for (const auto& id : late) {
+    if (std::find(plan.give_back.begin(), plan.give_back.end(), id) == plan.give_back.end()) {
+      spdlog::info("takeover: deleting {}, which has not been heard of", id);
+      plan.give_back.push_back(id);
+    }
+  }
   plan.give_back.insert(plan.give_back.end(), hopeless.begin(), hopeless.end());
   return plan;
 }
