Go on through outages of the state service while all peers vouch not to lead

Change: a leader whose grant may be over goes on as long as every peer, itself out of touch with the state service, promises not to lead for one renewal interval.

--- a/include/mosspath/lease/elector.h
+++ b/include/mosspath/lease/elector.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "mosspath/config/settings.h"
+#include "mosspath/lease/vouching.h"
 #include "mosspath/state/client.h"
 
 namespace mosspath::lease {
@@ -39,13 +40,26 @@
   // The mirror's view of the leader key.
   void KeyChanged(const state::Event& e);
   void KeyReset();
-  void MirrorLoaded();
+  // `fresh`: there is nothing in it, so nobody has led yet.
+  void MirrorLoaded(bool fresh);
 
   // Gives the leadership up at once, for another controller to take.
   void Resign(const char* why);
 
   // Entitled to command workers at this moment.
-  bool Entitled(double now) const { return token_ != 0 && clock_.Holds(now); }
+  bool Entitled(double now) const {
+    return token_ != 0 && (clock_.Holds(now) || vouching_.Holds(now));
+  }
+  // The state service has not answered this node for longer than renewals are apart.
+  bool OutOfTouch(double now) const {
+    return now - client_.last_contact() > 1.5 * derived_.renew_s;
+  }
+  // As a peer: promises the leader of this token not to lead for a moment, unless this node can do
+  // without it or knows of another leader.
+  bool Promise(uint64_t token, double now);
+  // As the leader: a round of questions to all peers.
+  uint64_t AskPeers(double now) { return vouching_.Ask(now); }
+  void PeerPromised(uint64_t round, const std::string& peer) { vouching_.Promised(round, peer); }
   uint64_t token() const { return token_; }
   const std::string& leader() const { return leader_; }
   const std::string& key() const { return key_; }
@@ -66,7 +80,11 @@
   net::Timer campaign_timer_;
   net::Timer hold_back_;
   net::Backoff backoff_;
+  net::Timer promise_timer_;
   GrantClock clock_;
+  Vouching vouching_;
+  bool logged_lapse_ = false;
+  bool led_before_ = false;  // somebody has, and may go on by a promise
   uint64_t grant_ = 0;
   uint64_t token_ = 0;  // non-zero while the leader key is ours
   uint64_t key_version_ = 0;
--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -201,8 +201,8 @@
   std::map<fleet::Offer, double> closed_until_;
   std::map<std::string, std::pair<double, double>> team_use_;  // cpus, gpus
   size_t unknown_tasks_ = 0;  // orphans whose size is unknown: hold back teams with limits
-  size_t inherited_ = 0;   // machines taken over that are not ruled out yet
-  size_t taken_over_ = 0;  // machines taken over in all
+  size_t inherited_ = 0;      // machines taken over that are not ruled out yet
+  size_t taken_over_ = 0;     // machines taken over in all
   bool dirty_ = true;
   std::vector<jobs::Job*> order_;  // of the jobs that the last Place left waiting, or may have
   double best_fetch_ = 0;          // GB a second of the type that fetches fastest
@@ -224,7 +224,8 @@
   std::vector<std::pair<std::string, uint32_t>> writing_progress_;
   std::vector<std::string> writing_machines_;
   Records writing_;
-  std::map<std::string, std::vector<wire::Json>> pending_progress_;  // segments loaded before their job
+  std::map<std::string, std::vector<wire::Json>>
+      pending_progress_;  // segments loaded before their job
 };
 
 }  // namespace mosspath::place
--- a/include/mosspath/service/job_table.h
+++ b/include/mosspath/service/job_table.h
@@ -38,6 +38,9 @@
   void Cancel(const std::string& id, std::function<void(Known)> done);
   void RecordFinal(const std::string& id, Known state);
 
+  // The revision of the last cancellation that this node knows to be durable, and may have told.
+  uint64_t newest_cancel() const { return newest_cancel_; }
+
   const std::unordered_map<std::string, LiveJob>& live() const { return live_; }
   // Whether the leader can hold this many more tasks in memory.
   bool HasRoomFor(uint32_t tasks) const { return live_tasks_ + tasks <= max_tasks_; }
@@ -51,6 +54,7 @@
   const size_t max_finals_;
   const size_t max_tasks_;
   size_t live_tasks_ = 0;
+  uint64_t newest_cancel_ = 0;
   std::unordered_map<std::string, LiveJob> live_;
   std::unordered_map<std::string, Known> finals_;  // a bounded cache
   std::deque<std::string> finals_order_;
--- a/include/mosspath/service/node.h
+++ b/include/mosspath/service/node.h
@@ -46,6 +46,8 @@
   void OnDigest(const net::HttpRequest& r, const Responder& respond);
   void SendDigest();
   void ComparePeers();
+  void AskToVouch();
+  void OnVouch(const net::HttpRequest& r, const Responder& respond);
   wire::Digest CurrentDigest() const;
   place::JobCounts CountsOf(const std::string& id) const;
   // Why the job can never run, or empty.
@@ -69,6 +71,8 @@
   net::Timer types_timer_;
   net::Timer digest_timer_;
   net::Timer compare_timer_;
+  net::Timer vouch_timer_;
+  bool mirror_empty_ = true;
   double peer_contact_ = -1e18;  // the state service's last answer to a peer, as far as told
   Metrics metrics_;
   config::OperatorSettings operator_settings_;
@@ -77,6 +81,7 @@
   double digest_at_ = -1e18;
   std::map<std::string, place::JobCounts> counts_;  // from it
   std::vector<std::unique_ptr<net::HttpClient>> peers_;
+  std::vector<std::unique_ptr<net::HttpClient>> vouchers_;  // nothing else waits here
   std::unique_ptr<net::HttpServer> public_;
   std::unique_ptr<net::HttpServer> peer_;
 };
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -154,6 +154,7 @@
   // soon, since nothing starts meanwhile.
   grant_s = s.lease_s / 4;
   renew_s = grant_s / 6;
+  promise_s = renew_s;
   lapse_margin_s = grant_s * (4 * kDrift) + 0.02 * grant_s;
   gone_s = s.lease_s * (1 + 4 * kDrift) + 0.02 * s.lease_s;
   // After a takeover: a report, and as much again for those that have to find the new leader.
--- a/src/lease/elector.cc
+++ b/src/lease/elector.cc
@@ -17,7 +17,11 @@
       campaign_timer_(io),
       hold_back_(io),
       backoff_(0.1, derived.renew_s),
-      clock_(derived.grant_s, derived.lapse_margin_s) {}
+      promise_timer_(io),
+      clock_(derived.grant_s, derived.lapse_margin_s),
+      vouching_(derived.promise_s, settings.peers.size()) {
+  vouching_.Promise(net::Now());  // whatever the process before this one promised
+}
 
 void Elector::Start() { Obtain(); }
 
@@ -48,10 +52,13 @@
       return Obtain();
     }
     if (outcome == state::Outcome::kDone) {
-      if (token_ != 0 && !clock_.Holds(net::Now())) spdlog::info("lease: resumed token={}", token_);
+      if (logged_lapse_) spdlog::info("lease: resumed token={}", token_);
+      logged_lapse_ = false;
       clock_.Renewed(sent);
-    } else if (token_ != 0 && !clock_.Holds(net::Now())) {
-      spdlog::info("lease: lapsed token={}, commanding nothing", token_);
+    } else if (token_ != 0 && !clock_.Holds(net::Now()) && !logged_lapse_) {
+      logged_lapse_ = true;
+      spdlog::info("lease: the grant of token={} may be over, {}", token_,
+                   Entitled(net::Now()) ? "going on as all peers vouch" : "commanding nothing");
     }
     const double pause = outcome == state::Outcome::kDone ? derived_.renew_s : derived_.renew_s / 4;
     renew_timer_.After(sent + pause - net::Now(), [this] { Renew(); });
@@ -65,8 +72,9 @@
   key_grant_ = 0;
 }
 
-void Elector::MirrorLoaded() {
+void Elector::MirrorLoaded(bool fresh) {
   mirror_loaded_ = true;
+  led_before_ = led_before_ || !fresh;
   if (token_ != 0 && key_grant_ != grant_) StepDown("the leader key is not ours");
   Consider();
 }
@@ -76,6 +84,7 @@
     leader_ = e.value->value("node", "");
     key_grant_ = e.value->value("grant", uint64_t{0});
     key_version_ = e.version;
+    led_before_ = led_before_ || key_grant_ != grant_;
   } else {
     leader_.clear();
     key_grant_ = 0;
@@ -90,6 +99,11 @@
   if (key_version_ != 0 && key_grant_ == grant_) {
     // Seen in the mirror, so the mirror holds all that earlier leaders wrote.
     if (token_ != key_version_) {
+      const double left = vouching_.promised_until() - net::Now();
+      if (left > 0 && led_before_) {
+        promise_timer_.After(left, [this] { Consider(); });
+        return;
+      }
       token_ = key_version_;
       spdlog::info("lease: elected node={} token={}", node_, token_);
       handlers_.elected(token_);
@@ -137,7 +151,15 @@
   Obtain();
 }
 
+bool Elector::Promise(uint64_t token, double now) {
+  if (token_ != 0 || key_version_ != token || !OutOfTouch(now)) return false;
+  vouching_.Promise(now);
+  return true;
+}
+
 void Elector::StepDown(const char* why) {
+  vouching_.Lost();
+  logged_lapse_ = false;
   if (token_ == 0) return;
   spdlog::info("lease: lost token={}: {}", token_, why);
   token_ = 0;
--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -24,7 +24,8 @@
 constexpr double kPackFill = 0.7;
 
 double PackBytes(const config::Settings& s) {
-  return std::min(s.value_kb * 1024 * kPackFill, 32.0 * 1024);  // well below what a request may hold
+  return std::min(s.value_kb * 1024 * kPackFill,
+                  32.0 * 1024);  // well below what a request may hold
 }
 
 }  // namespace
--- a/src/place/dispatcher_place.cc
+++ b/src/place/dispatcher_place.cc
@@ -23,9 +23,9 @@
 constexpr uint16_t kMaxAttempts = 0xffff;
 constexpr double kCheapLoss = 0.12;  // of its run time, that a task may lose for higher work
 constexpr double kAged = 0.4;        // of its aim, after which waiting low work counts as normal
-constexpr double kSettled = 2;    // checkpoints' intervals
-constexpr double kFetchWait = 2;  // of a job's age, that a fetch may take: a young one waits for
-                                  // room where its image is
+constexpr double kSettled = 2;       // checkpoints' intervals
+constexpr double kFetchWait = 2;     // of a job's age, that a fetch may take: a young one waits for
+                                     // room where its image is
 constexpr double kPatience = 3;  // how long a job's turn may wait to save a fetch, in such fetches
 constexpr double kYield = 45;    // how far a job yields, in multiples of the time it takes the pool
 
@@ -117,8 +117,8 @@
     if (job->pending.empty() || now < job->not_before || !MayStart(*job)) continue;
     const auto [hopeless, within, start] = NextAim(*job, now);
     // The nearest aim first, but what holds up many others yields: with too much work, most jobs
-    // then still keep their aims. (Aims for starts count tasks, not jobs: there is nothing to gain.)
-    // Those that can't keep any come last.
+    // then still keep their aims. (Aims for starts count tasks, not jobs: there is nothing to
+    // gain.) Those that can't keep any come last.
     const double work = (job->spec.tasks - job->done) * job->spec.cpus * ExpectedRun(*job);
     double turn = job->submitted + within;
     if (!start) turn += kYield * work / std::max(1.0, pool_cpus);
@@ -341,8 +341,8 @@
     const wire::JobSpec& s = job.spec;
     return !job.pending.empty() && m.Fits(s.cpus, s.gpus, s.memory_gb) &&
            s.kind == wire::Kind::kArray && !s.one_zone && !s.spread && now >= job.not_before &&
-           FetchTime(job, m) <= kFetchWait * (now - job.submitted) &&
-           Allowed(job, m, now) && MayPlace(job) > 0;
+           FetchTime(job, m) <= kFetchWait * (now - job.submitted) && Allowed(job, m, now) &&
+           MayPlace(job) > 0;
   };
   for (size_t i = 0; i < order_.size(); ++i) {
     Job* job = order_[i];
--- a/src/service/job_table.cc
+++ b/src/service/job_table.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -125,6 +126,7 @@
     txn.changes.push_back({keys::Final(id), FinalRecord(wire::Stage::kCancelled)});
     state_.Commit(std::move(txn), left, [this, id, deadline, done](state::TxnResult r) {
       if (r.outcome == state::Outcome::kDone) {
+        newest_cancel_ = std::max(newest_cancel_, r.revision);
         RecordFinal(id, Known::kCancelled);
         return done(Known::kCancelled);
       }
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -51,6 +51,7 @@
                    [this] {
                      jobs_.Reset();
                      packs_.clear();
+                     mirror_empty_ = true;
                      elector_.KeyReset();
                    },
                .changed = [this](const state::Event& e) { OnKey(e); },
@@ -65,10 +66,13 @@
           {.elected = [this](uint64_t token) { OnElected(token); }, .lost = [this] { OnLost(); }}),
       types_timer_(io),
       digest_timer_(io),
-      compare_timer_(io) {
+      compare_timer_(io),
+      vouch_timer_(io) {
   for (const auto& p : settings_.peers) {
     peers_.push_back(std::make_unique<net::HttpClient>(
         io, p.address, net::HttpClient::Options{.max_connections = 1, .max_queue = 2}));
+    vouchers_.push_back(std::make_unique<net::HttpClient>(
+        io, p.address, net::HttpClient::Options{.max_connections = 1, .max_queue = 2}));
   }
 }
 
@@ -90,6 +94,7 @@
   FetchTypes();
   SendDigest();
   ComparePeers();
+  AskToVouch();
   spdlog::info("service: node {} in {} serves {}", settings_.node, settings_.zone,
                settings_.public_address);
 }
@@ -97,6 +102,7 @@
 // ---------------------------------------------------------------------------- mirrored keys
 
 void Node::OnKey(const state::Event& e) {
+  mirror_empty_ = false;
   if (e.key == keys::kLeader) return elector_.KeyChanged(e);
   if (e.key == keys::kTypes) {
     if (!e.value) return;
@@ -148,7 +154,7 @@
     }
     for (const auto& id : over) leader_->dispatcher().RemoveJob(id, net::Now());
   }
-  elector_.MirrorLoaded();
+  elector_.MirrorLoaded(mirror_empty_);
 }
 
 void Node::OnElected(uint64_t token) {
@@ -244,6 +250,54 @@
   }
 }
 
+// While the state service is silent, a leader asks all peers to vouch that they won't lead.
+void Node::AskToVouch() {
+  vouch_timer_.After(derived_.promise_s / 4, [this] { AskToVouch(); });
+  const double now = net::Now();
+  if (elector_.token() == 0 || !elector_.OutOfTouch(now) ||
+      jobs_.newest_cancel() > mirror_.revision()) {
+    return;
+  }
+  wire::VarintWriter w;
+  w.Put(elector_.token());
+  const std::string frame = w.Take();
+  const uint64_t round = elector_.AskPeers(now);
+  for (size_t i = 0; i < peers_.size(); ++i) {
+    vouchers_[i]->Send("POST", "/peer/v1/vouch", frame, derived_.promise_s,
+                       [this, round, name = settings_.peers[i].node](const net::HttpResult& r) {
+                         if (r.status != 200) return;
+                         try {
+                           wire::VarintReader reader(r.body);
+                           const bool promised = reader.Get() == 1;
+                           const uint64_t cancelled = reader.Get();
+                           reader.End();
+                           // A cancellation that was told and that we have not seen: its tasks
+                           // must not go on.
+                           if (promised && cancelled <= mirror_.revision()) {
+                             elector_.PeerPromised(round, name);
+                           }
+                         } catch (const std::exception& e) {
+                           spdlog::error("peer: {}", e.what());
+                         }
+                       });
+  }
+}
+
+void Node::OnVouch(const net::HttpRequest& r, const Responder& respond) {
+  try {
+    wire::VarintReader reader(r.body);
+    const uint64_t token = reader.Get();
+    reader.End();
+    wire::VarintWriter w;
+    w.Put(uint64_t{elector_.Promise(token, net::Now())});
+    w.Put(jobs_.newest_cancel());
+    respond({200, w.Take(), 0, "application/octet-stream"});
+  } catch (const std::exception& e) {
+    spdlog::error("peer: {}", e.what());
+    respond(Plain(400, e.what()));
+  }
+}
+
 void Node::OnPublic(net::HttpRequest r, Responder respond) {
   static const std::string kApi = "/api/jobs";
   static const std::string kCancel = "/cancel";
@@ -301,6 +355,7 @@
 
 void Node::OnPeer(net::HttpRequest r, Responder respond) {
   if (r.path == "/peer/v1/digest" && r.method == "POST") return OnDigest(r, respond);
+  if (r.path == "/peer/v1/vouch" && r.method == "POST") return OnVouch(r, respond);
   if (r.path == "/peer/v1/contact" && r.method == "GET") {
     wire::VarintWriter w;
     w.PutAmount(std::min(1e9, net::Now() - state_.last_contact()));
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -346,7 +346,7 @@
   d_.OnDirect(orders[0], DirectOutcome::kUnsure, nullptr, 2);
   Report("vm-1", 2.5);
   EXPECT_EQ(d_.Counts("req-1").running, 1u);  // may still be executed
-  d_.Tick(2.6);  // wants a revision, and a write for one
+  d_.Tick(2.6);                               // wants a revision, and a write for one
   ASSERT_FALSE(d_.TakeRecords(100, 48u << 10).empty());
   d_.RecordsWritten(30);
   d_.Tick(3);
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -266,6 +266,43 @@
   for (auto& c : controllers) EXPECT_EQ(c->resigned() > 0, c->name() == old_leader);
 }
 
+// In an outage of several leases, all tasks were lost when their workers' leases ran out. The
+// leader goes on as long as every peer vouches that it won't lead.
+TEST(Simulation, ALongOutageLosesNoTasks) {
+  World world(SmallSettings(), {SmallType()}, 12);
+  for (const char* name : {"hut-0", "hut-1", "hut-2"}) world.nodes.emplace_back(name);
+  std::vector<std::unique_ptr<Controller>> controllers;
+  world.on_report = [&](const std::string& node, const wire::Report& r,
+                        const World::ReportAnswer& answer) {
+    for (auto& c : controllers) {
+      if (c->name() == node) c->OnReport(r, answer);
+    }
+  };
+  for (const auto& n : world.nodes) {
+    controllers.push_back(std::make_unique<Controller>(world, n, 1.0));
+  }
+  for (int i = 0; i < 6; ++i) world.AddMachine("box", "east", false);
+  wire::JobSpec s;
+  s.id = "req-1";
+  s.team = "free";
+  s.tasks = 240;
+  s.cpus = 1;
+  s.image = "i";
+  s.estimate_s = 20;
+  world.Submit(s);
+  world.state.Commit({}, {{"job/req-1", wire::Json{}}});
+  world.clock.At(25, [&] { world.state.Outage(35); });
+  size_t before = 0;
+  size_t during = 0;
+  world.clock.At(30, [&] { before = world.checker.starts(); });
+  world.clock.At(58, [&] { during = world.checker.starts(); });
+  world.clock.RunUntil(300);
+  EXPECT_TRUE(world.checker.breaches().empty()) << All(world.checker.breaches());
+  EXPECT_GT(during, before);                // work went on
+  EXPECT_EQ(world.checker.starts(), 240u);  // and none was done twice
+  EXPECT_EQ(world.checker.done_jobs(), 1u);
+}
+
 // The checker itself: planted violations must be caught.
 class Planted : public ::testing::Test {
  protected:
--- a/tests/standins/controller.cc
+++ b/tests/standins/controller.cc
@@ -1,5 +1,6 @@
 #include "standins/controller.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mosspath::standins {
@@ -17,7 +18,14 @@
       name_(std::move(name)),
       drift_(drift),
       derived_(world.settings),
-      clock_(derived_.grant_s, derived_.lapse_margin_s) {
+      clock_(derived_.grant_s, derived_.lapse_margin_s),
+      vouching_(derived_.promise_s, world.nodes.size() - 1) {
+  world_.on_vouch[name_] = [this](uint64_t token) -> std::optional<bool> {
+    if (!alive_) return std::nullopt;
+    if (token_ != 0 || seen_leader_ != token || !OutOfTouch()) return false;
+    vouching_.Promise(Now());
+    return true;
+  };
   Boot();
 }
 
@@ -37,12 +45,17 @@
   alive_ = true;
   ++life_;
   clock_ = lease::GrantClock(derived_.grant_s, derived_.lapse_margin_s);
+  vouching_.Lost();
+  vouching_.Promise(Now());
+  last_contact_ = -1e18;
   grant_ = token_ = 0;
+  seen_leader_ = 0;
   campaigning_ = false;
   dispatcher_.reset();
   Renew();
   Poll();
   Tick();
+  AskToVouch();
 }
 
 void Controller::Crash(double back_after_s) {
@@ -54,6 +67,26 @@
   });
 }
 
+void Controller::AskToVouch() {
+  if (!alive_) return;
+  const uint64_t life = life_;
+  world_.clock.After(derived_.promise_s / 4, [this, life] {
+    if (life == life_) AskToVouch();
+  });
+  if (token_ == 0 || !OutOfTouch()) return;
+  const uint64_t round = vouching_.Ask(Now());
+  for (const auto& peer : world_.nodes) {
+    if (peer == name_) continue;
+    world_.network.Send(name_, peer, [this, life, round, peer, token = token_] {
+      const auto promised = world_.on_vouch[peer](token);
+      if (!promised) return;
+      world_.network.Send(peer, name_, [this, life, round, peer, ok = *promised] {
+        if (ok && life == life_) vouching_.Promised(round, peer);
+      });
+    });
+  }
+}
+
 void Controller::Renew() {
   if (!alive_) return;
   const uint64_t life = life_;
@@ -75,6 +108,7 @@
               if (grant != grant_) return;
               if (ok) return clock_.Renewed(sent);
               clock_.Lost();
+              vouching_.Lost();
               grant_ = token_ = 0;
               dispatcher_.reset();
             });
@@ -87,7 +121,8 @@
     if (life == life_) Poll();
   });
   Ask<Pairs>([this] { return world_.state.pairs(); },
-             [this, poll = ++polls_](const Pairs& pairs) {
+             [this, poll = ++polls_, sent = Now()](const Pairs& pairs) {
+               last_contact_ = std::max(last_contact_, sent);
                if (poll < seen_poll_) return;
                seen_poll_ = poll;
                See(pairs);
@@ -96,15 +131,20 @@
 
 void Controller::See(const Pairs& pairs) {
   const auto leader = pairs.find(kLeader);
+  seen_leader_ = leader == pairs.end() ? 0 : leader->second.version;
   const bool ours = grant_ != 0 && leader != pairs.end() && leader->second.grant == grant_;
   if (!ours) {
+    vouching_.Lost();
     token_ = 0;
     dispatcher_.reset();
     if (leader == pairs.end()) return Campaign(0);
     if (leader->second.value.at("node") == name_) Campaign(leader->second.version);
     return;
   }
-  if (token_ != leader->second.version) return Elected(leader->second.version, pairs);
+  if (token_ != leader->second.version) {
+    if (Now() < vouching_.promised_until()) return;
+    return Elected(leader->second.version, pairs);
+  }
   for (const auto& [key, pair] : pairs) {
     if (key.starts_with("progress/")) dispatcher_->SeenProgress(PackOf(key), pair.version);
     if (key.starts_with("machines/")) dispatcher_->SeenMachines(PackOf(key), pair.version);
@@ -158,6 +198,7 @@
   if (!leading()) return answer(dispatcher_ ? 503 : 421, 0, {}, "");
   place::ReportAnswer a = dispatcher_->OnReport(r, Now());
   if (!a.accepted) return answer(503, 0, {}, "");
+  vouched_ += clock_.Holds(Now()) ? 0 : 1;
   answer(200, a.token, a.commands, "");
   SendDirect();
 }
@@ -171,6 +212,7 @@
   if (!leading()) return;
   if (dispatcher_->Blind(Now())) {
     clock_.Lost();
+    vouching_.Lost();
     dispatcher_.reset();
     hold_back_until_ = Now() + 2 * derived_.grant_s;
     ++resigned_;
--- a/tests/standins/controller.h
+++ b/tests/standins/controller.h
@@ -20,6 +20,7 @@
   bool leading() const { return dispatcher_ != nullptr && Entitled(); }
   place::Dispatcher* dispatcher() { return dispatcher_.get(); }
   int resigned() const { return resigned_; }
+  int vouched() const { return vouched_; }  // reports answered when only the peers' word allowed it
   void Crash(double back_after_s);
   void OnReport(const wire::Report& r, const World::ReportAnswer& answer);
 
@@ -27,7 +28,9 @@
   using Pairs = std::map<std::string, StateService::Pair>;
 
   double Now() const { return world_.clock.now() * drift_; }
-  bool Entitled() const { return clock_.Holds(Now()); }
+  bool Entitled() const { return clock_.Holds(Now()) || vouching_.Holds(Now()); }
+  bool OutOfTouch() const { return Now() - last_contact_ > 1.5 * derived_.renew_s; }
+  void AskToVouch();
   // Runs at the state service, then back here unless this life has ended.
   template <typename R>
   void Ask(std::function<R()> at_service, std::function<void(R)> back);
@@ -49,13 +52,17 @@
   uint64_t life_ = 0;
   bool alive_ = false;
   lease::GrantClock clock_;
+  lease::Vouching vouching_;
+  double last_contact_ = -1e18;
   uint64_t grant_ = 0;
   uint64_t token_ = 0;
+  uint64_t seen_leader_ = 0;  // the leader key's version as last read
   uint64_t polls_ = 0;
   uint64_t seen_poll_ = 0;
   bool campaigning_ = false;
   double hold_back_until_ = -1e18;
   int resigned_ = 0;
+  int vouched_ = 0;
   std::unique_ptr<place::Dispatcher> dispatcher_;
 };
 
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -222,6 +222,8 @@
   std::vector<std::string> nodes;
   // How a node takes a report; called at the node.
   std::function<void(const std::string& node, wire::Report, ReportAnswer)> on_report;
+  // How a node takes a leader's question whether it vouches; no answer while it is down.
+  std::map<std::string, std::function<std::optional<bool>(uint64_t token)>> on_vouch;
 
  private:
   Worker& Add(const std::string& id, const std::string& type, const std::string& zone, bool spot);
