--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -282,6 +282,61 @@
   EXPECT_EQ(Only(Report("vm-1", 3, done), wire::Op::kForget).size(), 1u);
 }
 
+// At the largest size: an array costs about one pass over the machines, what finds no room costs no
+// more, and the records keep within what a value and a request may hold.
+TEST_F(DispatcherTest, WorkAtTheLargestSizeIsBounded) {
+  constexpr size_t kMachines = 1010;
+  std::vector<std::string> names;
+  for (size_t i = 0; i < kMachines; ++i) names.push_back("vm-" + std::to_string(100000 + i));
+  for (const auto& id : names) Report(id, 1);
+  d_.Place(1);
+  size_t writes = 0;
+  for (auto r = d_.TakeRecords(8, 48u << 10); !r.empty(); r = d_.TakeRecords(8, 48u << 10)) {
+    size_t bytes = 0;
+    for (const auto& w : r.machines) {
+      EXPECT_LE(w.value.dump().size(), size_t{8} << 10);
+      bytes += w.value.dump().size();
+      ++writes;
+    }
+    EXPECT_LE(bytes, size_t{48} << 10);
+    d_.RecordsWritten(1);
+  }
+  EXPECT_LE(writes, 6u);
+  uint64_t looked = d_.looked_at();
+  d_.AddJob(Job(1, 700, 1, wire::Rank::kNormal), 11, 0);
+  d_.Place(2);
+  EXPECT_EQ(d_.Counts("req-1").running, 700u);
+  EXPECT_LE(d_.looked_at() - looked, kMachines);
+  d_.AddJob(Job(2, 5000, 1, wire::Rank::kNormal), 11, 0);  // more than there is room for
+  d_.Place(3);
+  looked = d_.looked_at();
+  for (int i = 0; i < 300; ++i) d_.AddJob(Job(100 + i, 600, 1, wire::Rank::kNormal), 11, 0);
+  d_.Place(4);
+  EXPECT_LE(d_.looked_at() - looked, kMachines);
+  // A report refills its own machine and looks at no other.
+  looked = d_.looked_at();
+  Report(names[0], 5);
+  EXPECT_LE(d_.looked_at() - looked, kMachines);
+}
+
+// After a takeover some machines of many are always gone already; the successor started nothing of
+// earlier jobs for up to 17 s because of them. It deletes the few it has not heard of.
+TEST_F(DispatcherTest, ASuccessorDeletesTheFewMachinesThatDoNotReport) {
+  wire::Json record = wire::Json::object();
+  for (int i = 0; i < 100; ++i) record["vm-" + std::to_string(100 + i)] = "a";
+  d_.LoadMachines(0, record, 1);
+  d_.AddJob(Job(1, 5000, 1, wire::Rank::kNormal), 9, 0);  // keeps all machines wanted
+  for (int i = 0; i < 60; ++i) Report("vm-" + std::to_string(100 + i), 1);
+  EXPECT_TRUE(d_.PlanFleet(derived_.find_s + 1).give_back.empty());  // many: more likely a cut
+  for (int i = 60; i < 98; ++i) Report("vm-" + std::to_string(100 + i), 2);
+  EXPECT_TRUE(d_.PlanFleet(derived_.find_s - 0.1).give_back.empty());  // may still come
+  const auto plan = d_.PlanFleet(derived_.find_s + 0.1);
+  EXPECT_EQ(plan.give_back, (std::vector<std::string>{"vm-198", "vm-199"}));
+  EXPECT_FALSE(d_.settled());
+  for (const auto& id : plan.give_back) d_.MachineDeleted(id, derived_.find_s + 0.3);
+  EXPECT_TRUE(d_.settled());
+}
+
 // A new leader deleted machines that had not found it yet: it took them for rentals that never
 // came up, by the age the cloud gave.
 TEST_F(DispatcherTest, InheritedMachinesAreNotTakenForFailedRentals) {
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -226,6 +226,84 @@
                   700, 20);
 }
 
+// A day at the size that the deployments have grown to: a thousand machines, five controllers,
+// arrays of up to 600 tasks; controllers crash, one and all, the leader is cut off, the state
+// service gets slow and has an outage, machines die.
+TEST(Simulation, ALargeDay) {
+  config::Settings settings = SmallSettings();
+  settings.nodes = 5;
+  settings.report_s = 4;
+  settings.lease_s = 26;
+  settings.cancel_s = 46;
+  settings.teams = {{"free", 0, 0, 0, 0}, {"tight", 40, 400, 0, 0}};
+  wire::MachineType type = SmallType();
+  type.spot_price = 0.3;
+  World world(settings, {type}, 21);
+  world.capacity = 1000;
+  for (int i = 0; i < 5; ++i) world.nodes.push_back("hut-" + std::to_string(i));
+  std::map<std::string, std::unique_ptr<Controller>> controllers;
+  world.on_report = [&](const std::string& node, const wire::Report& r,
+                        const World::ReportAnswer& answer) {
+    controllers.at(node)->OnReport(r, answer);
+  };
+  for (size_t i = 0; i < world.nodes.size(); ++i) {
+    const double drift = 1.0 + 0.00025 * (static_cast<double>(i) - 2);
+    controllers[world.nodes[i]] = std::make_unique<Controller>(world, world.nodes[i], drift);
+  }
+  for (int i = 0; i < 56; ++i) world.AddMachine("box", i % 2 == 0 ? "east" : "west", false);
+  constexpr int kJobs = 60;
+  for (int i = 0; i < kJobs; ++i) {
+    wire::JobSpec s;
+    s.id = "req-" + std::to_string(i);
+    s.job_class = "work";
+    s.team = i % 10 == 0 ? "tight" : "free";
+    s.rank = static_cast<wire::Rank>(i % 3);
+    s.tasks = i % 20 == 7 ? 600 : 30 + static_cast<uint32_t>(world.random.Below(150));
+    s.cpus = i % 3 == 0 ? 4 : 2;
+    s.memory_gb = s.cpus * 3;
+    s.image = "img-" + std::to_string(i % 12);
+    s.image_gb = 1;
+    s.spread = i % 11 == 3;
+    s.spot = true;
+    s.estimate_s = world.random.Uniform(10, 30);
+    world.clock.At(i < 20 ? 0.1 : world.random.Uniform(1, 120), [&world, s] {
+      world.Submit(s);
+      world.state.Commit({}, {{"job/" + s.id, wire::Json{}}});
+    });
+  }
+  const auto leader = [&]() -> Controller& {
+    for (auto& [name, c] : controllers) {
+      if (c->leading()) return *c;
+    }
+    return *controllers.begin()->second;
+  };
+  world.clock.At(30, [&] { world.network.Slow("state", 10, 30); });
+  world.clock.At(45, [&] { leader().Crash(4); });
+  world.clock.At(70, [&] {
+    auto it = world.workers.begin();
+    for (int i = 0; i < 40; ++i, std::advance(it, 10)) it->second->Die();
+  });
+  world.clock.At(75, [&] {
+    for (auto& [name, c] : controllers) c->Crash(4);
+  });
+  world.clock.At(105, [&] {
+    const std::string name = leader().name();
+    for (auto& [id, w] : world.workers) world.network.Cut(name, id, 20, true);
+    for (const auto& other : world.nodes) world.network.Cut(name, other, 20, true);
+    world.network.Cut(name, "state", 20, true);
+  });
+  world.clock.At(140, [&] { world.state.Outage(10); });
+  std::function<void()> check = [&] {
+    world.checker.Tick(world.clock.now());
+    world.clock.After(1, check);
+  };
+  check();
+  world.clock.RunUntil(260);
+  EXPECT_TRUE(world.checker.breaches().empty()) << All(world.checker.breaches());
+  EXPECT_EQ(world.checker.done_jobs(), size_t{kJobs});
+  EXPECT_GT(world.workers.size(), 300u);
+}
+
 // A leader that lost all workers, but not the state service, kept the leadership until every
 // worker's lease was over, and all tasks with it. Now another controller takes them over in time.
 TEST(Simulation, ALeaderWithoutWorkersResigns) {
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -21,6 +21,10 @@
 void Network::Send(const std::string& from, const std::string& to, std::function<void()> deliver) {
   double delay = random_.Uniform(0.001, 0.02);
   if (random_.Below(200) == 0) delay += random_.Uniform(0.2, 3);  // lost and sent again
+  for (const auto& host : {from, to}) {
+    const auto slow = slow_.find(host);
+    if (slow != slow_.end() && slow->second.second > clock_.now()) delay *= slow->second.first;
+  }
   const auto cut = cuts_.find(std::minmax(from, to));
   if (cut != cuts_.end() && cut->second.until > clock_.now()) {
     if (!cut->second.hold) return;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -58,6 +58,10 @@
   Network(Clock& clock, Random& random) : clock_(clock), random_(random) {}
   void Send(const std::string& from, const std::string& to, std::function<void()> deliver);
   void Cut(const std::string& a, const std::string& b, double for_s, bool hold);
+  // Messages to and from the host take this many times as long.
+  void Slow(const std::string& host, double factor, double for_s) {
+    slow_[host] = {factor, clock_.now() + for_s};
+  }
 
  private:
   struct CutState {
@@ -67,6 +71,7 @@
   Clock& clock_;
   Random& random_;
   std::map<std::pair<std::string, std::string>, CutState> cuts_;
+  std::map<std::string, std::pair<double, double>> slow_;  // factor, until
 };
 
 // Every breach of a rule, in words.
