Rest large machines by the work they do for their price; small images first among starts

And of tasks whose start is urgent those with small images were not preferred, though they start sooner.

--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -156,14 +156,15 @@
   const bool ordinary_wanted =
       std::any_of(in.demand.begin(), in.demand.end(), [](const Demand& d) { return !d.spot_ok; });
   const bool covered = !ordinary_wanted && cheap_up >= tuning.cheap_cover * ordinary_up;
-  const auto price = [&](const Unit* u) {
+  // Work that it does for its price: a large machine is emptied before it holds but a few tasks.
+  const auto density = [&](const Unit* u) {
     const auto* t = by_name[u->type];
-    return (u->spot ? t->spot_price : t->price) / Cpus(*t);
+    return u->work_s / std::max(1e-9, u->spot ? t->spot_price : t->price);
   };
   std::stable_sort(dear.begin(), dear.end(), [&](const Unit* a, const Unit* b) {
-    if (price(a) != price(b)) return price(a) > price(b);
+    if (a->spot != b->spot) return !a->spot;
     if (a->draining != b->draining) return a->draining;
-    return a->work_s < b->work_s;
+    return density(a) < density(b);
   });
   for (const Unit* u : dear) {
     const auto* t = by_name[u->type];
--- a/src/place/dispatcher_place.cc
+++ b/src/place/dispatcher_place.cc
@@ -121,7 +121,11 @@
     // gain.) Those that can't keep any come last.
     const double work = (job->spec.tasks - job->done) * job->spec.cpus * ExpectedRun(*job);
     double turn = job->submitted + within;
-    if (!start) turn += kYield * work / std::max(1.0, pool_cpus);
+    if (!start) {
+      turn += kYield * work / std::max(1.0, pool_cpus);
+    } else if (best_fetch_ > 0) {
+      turn += job->spec.image_gb / best_fetch_;  // what is fetched sooner starts sooner
+    }
     // Low work that has waited for a good part of its aim takes its turn among normal work, or
     // steady normal work would starve it. It still preempts nothing.
     wire::Rank rank = job->spec.rank;
