--- a/include/mosspath/service/cloud.h
+++ b/include/mosspath/service/cloud.h
@@ -8,6 +8,7 @@
 #include "mosspath/config/settings.h"
 #include "mosspath/net/http_client.h"
 #include "mosspath/net/rate.h"
+#include "mosspath/net/understood.h"
 #include "mosspath/wire/json.h"
 
 namespace mosspath::service {
@@ -25,6 +26,8 @@
   void Delete(const std::vector<std::string>& machines, std::function<void(Outcome)> done);
   void List(const std::string& after, std::function<void(bool, wire::MachinePage)> done);
 
+  net::OnMalformed on_malformed;
+
  private:
   static double net_now();
   void Send(std::string method, std::string target, std::string body,
--- a/include/mosspath/service/leader.h
+++ b/include/mosspath/service/leader.h
@@ -30,6 +30,7 @@
   // Called with the ids of jobs whose completion is durable.
   std::function<void(const std::string& id)> on_completed;
   std::function<void(const std::vector<wire::MachineType>&)> on_types;
+  net::OnMalformed on_malformed;
 
  private:
   struct PendingRent {
--- a/include/mosspath/service/node.h
+++ b/include/mosspath/service/node.h
@@ -75,6 +75,7 @@
   bool mirror_empty_ = true;
   double peer_contact_ = -1e18;  // the state service's last answer to a peer, as far as told
   Metrics metrics_;
+  net::OnMalformed on_malformed_;
   config::OperatorSettings operator_settings_;
   uint64_t operator_version_ = 0;
   wire::Digest digest_;  // the leader's last word; display only
--- a/include/mosspath/state/client.h
+++ b/include/mosspath/state/client.h
@@ -13,6 +13,7 @@
 #include "mosspath/net/http_client.h"
 #include "mosspath/net/rate.h"
 #include "mosspath/net/timer.h"
+#include "mosspath/net/understood.h"
 #include "mosspath/wire/json.h"
 
 namespace mosspath::state {
@@ -90,6 +91,8 @@
   double last_contact() const { return last_contact_; }
   uint64_t refusals() const { return refusals_; }
 
+  net::OnMalformed on_malformed;
+
  private:
   void Send(net::HttpClient& through, std::string method, std::string target, std::string body,
             double timeout_s, std::function<void(int status, wire::Json body)> done);
--- a/src/service/cloud.cc
+++ b/src/service/cloud.cc
@@ -10,16 +10,7 @@
 namespace mosspath::service {
 namespace {
 
-template <typename F>
-bool Understood(const char* what, F f) {
-  try {
-    f();
-    return true;
-  } catch (const std::exception& e) {
-    spdlog::error("cloud: malformed answer to {}: {}", what, e.what());
-    return false;
-  }
-}
+constexpr const char* kCloud = "cloud";
 
 }  // namespace
 
@@ -34,11 +25,11 @@
                        std::function<void(int, wire::Json)> done) {
   budget_.TryTake(net_now());
   http_.Send(std::move(method), std::move(target), std::move(body), derived_.cloud_timeout_s,
-             [done = std::move(done)](const net::HttpResult& r) {
+             [this, done = std::move(done)](const net::HttpResult& r) {
                wire::Json j;
                if (!r.body.empty()) j = wire::Json::parse(r.body, nullptr, false);
                if (j.is_discarded()) {
-                 spdlog::error("cloud: answer {} is not JSON", r.status);
+                 net::Malformed(kCloud, "JSON", "not JSON", on_malformed);
                  return done(0, {});
                }
                if (r.status != 200) spdlog::debug("cloud: answer {} {}", r.status, j.dump());
@@ -47,10 +38,10 @@
 }
 
 void CloudClient::Types(std::function<void(bool, std::vector<wire::MachineType>)> done) {
-  Send("GET", "/flavors", {}, [done = std::move(done)](int status, const wire::Json& j) {
+  Send("GET", "/flavors", {}, [this, done = std::move(done)](int status, const wire::Json& j) {
     std::vector<wire::MachineType> types;
-    const bool ok =
-        status == 200 && Understood("flavors", [&] { types = wire::ParseMachineTypes(j); });
+    const bool ok = status == 200 && net::Understood(kCloud, "flavors", on_malformed,
+                                                     [&] { types = wire::ParseMachineTypes(j); });
     done(ok, std::move(types));
   });
 }
@@ -58,10 +49,11 @@
 void CloudClient::Rent(const wire::RentRequest& r,
                        std::function<void(Outcome, std::vector<std::string>)> done) {
   Send("POST", "/hosts", wire::ToJson(r).dump(),
-       [done = std::move(done)](int status, const wire::Json& j) {
+       [this, done = std::move(done)](int status, const wire::Json& j) {
          std::vector<std::string> machines;
          if (status == 200) {
-           const bool ok = Understood("hosts", [&] { machines = wire::ParseRented(j); });
+           const bool ok = net::Understood(kCloud, "hosts", on_malformed,
+                                           [&] { machines = wire::ParseRented(j); });
            return done(ok ? Outcome::kDone : Outcome::kUnsure, std::move(machines));
          }
          if (status == 0) return done(Outcome::kUnsure, {});
@@ -82,10 +74,11 @@
 void CloudClient::List(const std::string& after,
                        std::function<void(bool, wire::MachinePage)> done) {
   Send("GET", wire::MachineListTarget(after, 500), {},
-       [done = std::move(done)](int status, const wire::Json& j) {
+       [this, done = std::move(done)](int status, const wire::Json& j) {
          wire::MachinePage page;
-         const bool ok =
-             status == 200 && Understood("hosts", [&] { page = wire::ParseMachinePage(j); });
+         const bool ok = status == 200 && net::Understood(kCloud, "hosts", on_malformed, [&] {
+                           page = wire::ParseMachinePage(j);
+                         });
          done(ok, std::move(page));
        });
 }
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -115,12 +115,10 @@
                    if (!r.sent || r.status == 409) {
                      outcome = place::DirectOutcome::kRefused;
                    } else if (r.status == 200) {
-                     try {
-                       report = wire::ParseReport(wire::ParseObject(r.body));
-                       outcome = place::DirectOutcome::kExecuted;
-                     } catch (const std::exception& e) {
-                       spdlog::error("worker: malformed answer of {}: {}", order.machine, e.what());
-                     }
+                     const bool understood = net::Understood(
+                         "worker", "commands", self->on_malformed,
+                         [&] { report = wire::ParseReport(wire::ParseObject(r.body)); });
+                     if (understood) outcome = place::DirectOutcome::kExecuted;
                    }
                    self->dispatcher_.OnDirect(order, outcome, &report, net::Now());
                    self->Kick();
--- a/src/service/metrics.cc
+++ b/src/service/metrics.cc
@@ -31,13 +31,27 @@
       answers_(prometheus::BuildCounter()
                    .Name("mosspath_answers_total")
                    .Help("Answers given, by route and status")
-                   .Register(registry_)) {}
+                   .Register(registry_)),
+      malformed_(prometheus::BuildCounter()
+                     .Name("mosspath_malformed_total")
+                     .Help("Messages that could not be understood, by sender and kind")
+                     .Register(registry_)) {}
 
 void Metrics::Answered(Route route, int status, double seconds) {
   static const prometheus::Histogram::BucketBoundaries kBounds{
       0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
-  latency_.Add({{"route", Name(route)}}, kBounds).Observe(seconds);
-  answers_.Add({{"route", Name(route)}, {"status", std::to_string(status)}}).Increment();
+  auto& latency = latency_of_[route];
+  if (latency == nullptr) latency = &latency_.Add({{"route", Name(route)}}, kBounds);
+  latency->Observe(seconds);
+  auto& answers = answers_of_[{route, status}];
+  if (answers == nullptr) {
+    answers = &answers_.Add({{"route", Name(route)}, {"status", std::to_string(status)}});
+  }
+  answers->Increment();
+}
+
+void Metrics::Malformed(const char* from, const char* what) {
+  malformed_.Add({{"from", from}, {"what", what}}).Increment();
 }
 
 std::string Metrics::Text() const {
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -68,6 +68,8 @@
       digest_timer_(io),
       compare_timer_(io),
       vouch_timer_(io) {
+  on_malformed_ = [this](const char* from, const char* what) { metrics_.Malformed(from, what); };
+  state_.on_malformed = cloud_.on_malformed = on_malformed_;
   for (const auto& p : settings_.peers) {
     peers_.push_back(std::make_unique<net::HttpClient>(
         io, p.address, net::HttpClient::Options{.max_connections = 1, .max_queue = 2}));
@@ -163,6 +165,7 @@
   leader_->on_completed = [this](const std::string& id) {
     jobs_.RecordFinal(id, JobTable::Known::kDone);
   };
+  leader_->on_malformed = on_malformed_;
   leader_->on_types = [this](const std::vector<wire::MachineType>& types) {
     LearnTypes(types, /*publish=*/true);
   };
@@ -238,14 +241,12 @@
   for (auto& p : peers_) {
     p->Send("GET", "/peer/v1/contact", {}, kCompareS, [this](const net::HttpResult& r) {
       if (r.status != 200) return;
-      try {
+      net::Understood("peer", "contact", on_malformed_, [&] {
         wire::VarintReader reader(r.body);
         const double age = reader.GetAmount();
         reader.End();
         peer_contact_ = std::max(peer_contact_, net::Now() - age);
-      } catch (const std::exception& e) {
-        spdlog::error("peer: {}", e.what());
-      }
+      });
     });
   }
 }
@@ -266,7 +267,7 @@
     vouchers_[i]->Send("POST", "/peer/v1/vouch", frame, derived_.promise_s,
                        [this, round, name = settings_.peers[i].node](const net::HttpResult& r) {
                          if (r.status != 200) return;
-                         try {
+                         net::Understood("peer", "vouch", on_malformed_, [&] {
                            wire::VarintReader reader(r.body);
                            const bool promised = reader.Get() == 1;
                            const uint64_t cancelled = reader.Get();
@@ -276,26 +277,23 @@
                            if (promised && cancelled <= mirror_.revision()) {
                              elector_.PeerPromised(round, name);
                            }
-                         } catch (const std::exception& e) {
-                           spdlog::error("peer: {}", e.what());
-                         }
+                         });
                        });
   }
 }
 
 void Node::OnVouch(const net::HttpRequest& r, const Responder& respond) {
-  try {
+  uint64_t token = 0;
+  const bool understood = net::Understood("peer", "vouch", on_malformed_, [&] {
     wire::VarintReader reader(r.body);
-    const uint64_t token = reader.Get();
+    token = reader.Get();
     reader.End();
-    wire::VarintWriter w;
-    w.Put(uint64_t{elector_.Promise(token, net::Now())});
-    w.Put(jobs_.newest_cancel());
-    respond({200, w.Take(), 0, "application/octet-stream"});
-  } catch (const std::exception& e) {
-    spdlog::error("peer: {}", e.what());
-    respond(Plain(400, e.what()));
-  }
+  });
+  if (!understood) return respond(Plain(400, "malformed frame"));
+  wire::VarintWriter w;
+  w.Put(uint64_t{elector_.Promise(token, net::Now())});
+  w.Put(jobs_.newest_cancel());
+  respond({200, w.Take(), 0, "application/octet-stream"});
 }
 
 void Node::OnPublic(net::HttpRequest r, Responder respond) {
@@ -429,19 +427,17 @@
 // ---------------------------------------------------------------------------- digests
 
 void Node::OnDigest(const net::HttpRequest& r, const Responder& respond) {
-  try {
-    wire::Digest d = wire::DecodeDigest(r.body);
-    if (d.token >= digest_.token) {
-      counts_.clear();
-      for (const auto& j : d.jobs) counts_[j.id] = {j.done, j.running};
-      digest_ = std::move(d);
-      digest_at_ = net::Now();
-    }
-    respond({200, ""});
-  } catch (const std::exception& e) {
-    spdlog::error("peer: {}", e.what());
-    respond(Plain(400, e.what()));
-  }
+  wire::Digest d;
+  const bool understood =
+      net::Understood("peer", "digest", on_malformed_, [&] { d = wire::DecodeDigest(r.body); });
+  if (!understood) return respond(Plain(400, "malformed frame"));
+  if (d.token >= digest_.token) {
+    counts_.clear();
+    for (const auto& j : d.jobs) counts_[j.id] = {j.done, j.running};
+    digest_ = std::move(d);
+    digest_at_ = net::Now();
+  }
+  respond({200, ""});
 }
 
 wire::Digest Node::CurrentDigest() const {
@@ -569,12 +565,10 @@
 
 void Node::OnReport(const net::HttpRequest& r, const Responder& respond) {
   wire::Report report;
-  try {
+  const bool understood = net::Understood("worker", "report", on_malformed_, [&] {
     report = wire::ParseReport(wire::ParseObject(r.body));
-  } catch (const std::exception& e) {
-    spdlog::error("worker: malformed report: {}", e.what());
-    return respond(Plain(400, e.what()));
-  }
+  });
+  if (!understood) return respond(Plain(400, "malformed report"));
   const double now = net::Now();
   if (leader_ && elector_.Entitled(now)) {
     place::ReportAnswer answer = leader_->dispatcher().OnReport(report, now);
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -11,6 +11,8 @@
 
 using wire::Json;
 
+constexpr const char* kState = "state";
+
 uint64_t Number(const Json& j, const char* key) {
   auto it = j.find(key);
   if (it == j.end() || !it->is_number_unsigned()) throw wire::BadMessage(key);
@@ -49,18 +51,6 @@
   return body.dump();
 }
 
-// Treats a malformed answer as none.
-template <typename F>
-bool Understood(const char* what, F f) {
-  try {
-    f();
-    return true;
-  } catch (const std::exception& e) {
-    spdlog::error("state: malformed answer to {}: {}", what, e.what());
-    return false;
-  }
-}
-
 }  // namespace
 
 struct CommitJob {
@@ -92,7 +82,7 @@
                  Json j;
                  if (!r.body.empty()) j = Json::parse(r.body, nullptr, false);
                  if (j.is_discarded()) {
-                   spdlog::error("state: answer {} is not JSON", r.status);
+                   net::Malformed(kState, "JSON", "not JSON", on_malformed);
                    return done(0, {});
                  }
                  done(r.status, std::move(j));
@@ -124,7 +114,8 @@
     TxnResult result;
     switch (status) {
       case 200:
-        if (Understood("multi", [&] { result.revision = Number(body, "epoch"); })) {
+        if (net::Understood(kState, "multi", on_malformed,
+                            [&] { result.revision = Number(body, "epoch"); })) {
           result.outcome = Outcome::kDone;
         }
         break;
@@ -159,10 +150,10 @@
     return;
   }
   Send(requests_, "GET", "/kv/" + key, {}, derived_.call_timeout_s,
-       [done = std::move(done)](int status, Json body) {
+       [this, done = std::move(done)](int status, Json body) {
          Value v;
          if (status == 404) v.kind = Value::Kind::kMissing;
-         if (status == 200 && Understood("get", [&] {
+         if (status == 200 && net::Understood(kState, "get", on_malformed, [&] {
                v.value = body.at("v");
                v.version = Number(body, "mark");
              })) {
@@ -178,10 +169,10 @@
   if (!after.empty()) target += "&since=" + after;
   reads_.TryTake(net::Now());
   Send(requests_, "GET", std::move(target), {}, 2 * derived_.call_timeout_s,
-       [done = std::move(done)](int status, Json body) {
+       [this, done = std::move(done)](int status, Json body) {
          Pairs pairs;
          if (status == 200) {
-           pairs.ok = Understood("list", [&] {
+           pairs.ok = net::Understood(kState, "list", on_malformed, [&] {
              pairs.revision = Number(body, "epoch");
              pairs.more = body.value("truncated", false);
              for (const Json& item : state::List(body, "pairs")) {
@@ -200,10 +191,10 @@
   reads_.TryTake(net::Now());
   net::HttpClient& through = wait_s > 0 ? watches_ : requests_;
   Send(through, "GET", target, {}, wait_s + derived_.call_timeout_s,
-       [done = std::move(done)](int status, Json body) {
+       [this, done = std::move(done)](int status, Json body) {
          Log log;
          if (status == 410) log.kind = Log::Kind::kTooOld;
-         if (status == 200 && Understood("follow", [&] {
+         if (status == 200 && net::Understood(kState, "follow", on_malformed, [&] {
                log.revision = Number(body, "epoch");
                for (const Json& item : state::List(body, "log")) {
                  const bool put = item.contains("put");
@@ -222,9 +213,10 @@
   const Json body{{"life_ms", static_cast<uint64_t>(life_s * 1000)}};
   reads_.TryTake(net::Now());
   Send(renewals_, "POST", "/grants", body.dump(), derived_.call_timeout_s,
-       [done = std::move(done)](int status, Json answer) {
+       [this, done = std::move(done)](int status, Json answer) {
          uint64_t grant = 0;
-         if (status == 200 && Understood("grants", [&] { grant = Number(answer, "berth"); })) {
+         if (status == 200 && net::Understood(kState, "grants", on_malformed,
+                                              [&] { grant = Number(answer, "berth"); })) {
            return done(Outcome::kDone, grant);
          }
          done(status > 0 ? Outcome::kRefused : Outcome::kUnsure, 0);
