--- a/src/place/dispatcher_place.cc
+++ b/src/place/dispatcher_place.cc
@@ -393,6 +393,9 @@
   }
   for (Job* job : Order(now)) {
     if (job->spec.rank < wire::Rank::kHigh) continue;
+    // With all machines full, room comes free all the time; by the next reports most of this work
+    // has it, and what was stopped for it would have lost its run in vain.
+    if (now - job->submitted < settings_.report_s) continue;
     double short_of = static_cast<double>(MayPlace(*job)) * job->spec.cpus;
     const double covered = std::min(short_of, coming);
     coming -= covered;
