--- a/include/mosspath/picture/machine.h
+++ b/include/mosspath/picture/machine.h
@@ -86,7 +86,6 @@
   bool failed = false;    // the cloud says that it stopped
   bool unlisted = false;  // silent, and no longer in the cloud's list
   double idle_since = 0;
-  double busy_until = 0;  // when the last of its tasks is expected to end
   int errors_in_row = 0;
   std::set<std::string> jobs_failed;
   double slowness = 1;  // how long tasks take here, against others of their jobs elsewhere
--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -157,7 +157,6 @@
   void Refill(picture::Machine& m, double now);
   bool Put(jobs::Job& job, picture::Machine& m, double now);
   bool Allowed(const jobs::Job& job, const picture::Machine& m, double now) const;
-  bool Prolongs(const jobs::Job& job, const picture::Machine& m, double now) const;
   double MissingGb(const jobs::Job& job, const picture::Machine& m) const;
   double FetchTime(const jobs::Job& job, const picture::Machine& m) const;
   // How many of the job's tasks may be placed now, room aside.
--- a/include/mosspath/place/locality.h
+++ b/include/mosspath/place/locality.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <map>
-#include <utility>
 #include <vector>
 
 namespace mosspath::place {
@@ -19,7 +18,6 @@
   double missing_gb = 0;  // delta(k,m): the image's layers that the machine lacks
   double held_gb = 0;     // layer bytes the machine holds in the picture
   bool has_room = false;
-  bool prolongs = false;  // the task would outlast all that runs there
 };
 
 inline constexpr size_t kNone = static_cast<size_t>(-1);
@@ -51,10 +49,8 @@
   Candidate Take();
   void Put(const Candidate& c);
 
-  using Key = std::pair<double, bool>;  // what is missing, and whether the task prolongs
-
-  std::map<Key, Group> groups_;
-  Key chosen_;  // the group of the machine that Best gave
+  std::map<double, Group> groups_;  // by what is missing
+  double chosen_ = 0;               // the group of the machine that Best gave
   double pool_gb_;
   const double cap_;
   const Policy policy_;
--- a/src/place/dispatcher_fleet.cc
+++ b/src/place/dispatcher_fleet.cc
@@ -134,13 +134,10 @@
     u.up = true;
     u.usable = Usable(m, now);
     u.used_cpus = m.used_cpus;
-    m.busy_until = 0;
     for (const auto& [key, slot] : m.slots) {
       if (slot.exited()) continue;
       const double ran = slot.running_since > 0 ? now - slot.running_since : 0;
-      const double left = std::max(slot.expected_s - ran, kLeastLeft * slot.expected_s);
-      u.work_s += slot.cpus * left;
-      m.busy_until = std::max(m.busy_until, now + left);
+      u.work_s += slot.cpus * std::max(slot.expected_s - ran, kLeastLeft * slot.expected_s);
     }
     u.idle = std::all_of(m.slots.begin(), m.slots.end(),
                          [&](const auto& s) {
--- a/src/place/dispatcher_place.cc
+++ b/src/place/dispatcher_place.cc
@@ -26,9 +26,8 @@
 constexpr double kSettled = 2;       // checkpoints' intervals
 constexpr double kFetchWait = 2;     // of a job's age, that a fetch may take: a young one waits for
                                      // room where its image is
-constexpr double kProlong = 0.3;  // the same for work that would outlast the machine's other tasks
-constexpr double kPatience = 3;   // how long a job's turn may wait to save a fetch, in such fetches
-constexpr double kYield = 45;  // how far a job yields, in multiples of the time it takes the pool
+constexpr double kPatience = 3;  // how long a job's turn may wait to save a fetch, in such fetches
+constexpr double kYield = 45;    // how far a job yields, in multiples of the time it takes the pool
 
 }  // namespace
 
@@ -176,10 +175,6 @@
   return job.spec.image_gb * (m.fetch_gb_per_s > 0 ? best_fetch_ / m.fetch_gb_per_s : 1);
 }
 
-bool Dispatcher::Prolongs(const Job& job, const Machine& m, double now) const {
-  return now + ExpectedRun(job) > m.busy_until;
-}
-
 size_t Dispatcher::MayPlace(const Job& job) const {
   size_t room = std::min<size_t>(TeamRoom(job), job.pending.size());
   if (Doubtful(job)) room = std::min<size_t>(room, job.placed() == 0 ? 1 : 0);
@@ -205,7 +200,6 @@
   slot.image = spec.image;
   m.images.Use(spec.image, spec.image_gb, m.cache_gb);
   m.todo = true;
-  m.busy_until = std::max(m.busy_until, now + slot.expected_s);
   Occupy(m, {{spec.id, index}, (token_ << kAttemptBits) | t.attempts}, std::move(slot));
   return true;
 }
@@ -291,8 +285,7 @@
       ++looked_at_;
       if (!fits(m, draining) || !Allowed(job, m, now)) continue;
       if (!only_zone.empty() && m.zone != only_zone) continue;
-      candidates.push_back(
-          {i, MissingGb(job, m), m.images.bytes_gb(), true, Prolongs(job, m, now)});
+      candidates.push_back({i, MissingGb(job, m), m.images.bytes_gb(), true});
     }
     if (spec.kind == wire::Kind::kGang) {
       // All that are missing or none: part of a gang would only hold machines while it waits.
@@ -319,7 +312,7 @@
       }
       for (Candidate& c : candidates) {
         const Machine& m = *pool[c.machine];
-        c = {c.machine, MissingGb(job, m), m.images.bytes_gb(), fits(m, draining), c.prolongs};
+        c = {c.machine, MissingGb(job, m), m.images.bytes_gb(), fits(m, draining)};
       }
     }
     Picker picker(candidates, pool_gb, pool.size(), policy_);
@@ -359,16 +352,12 @@
     Job* job = order_[i];
     while (takes(*job)) {
       Job* chosen = job;
-      const auto cost_of = [&](const Job& j) {
-        return j.turn + kPatience * FetchTime(j, m) +
-               kProlong * std::max(0.0, now + ExpectedRun(j) - m.busy_until);
-      };
-      double least = cost_of(*job);
+      double least = job->turn + kPatience * FetchTime(*job, m);
       for (size_t k = i + 1; least > job->turn && k < order_.size(); ++k) {
         Job* other = order_[k];
         if (other->turn_rank != job->turn_rank || other->turn >= least) break;
         if (!takes(*other)) continue;
-        const double cost = cost_of(*other);
+        const double cost = other->turn + kPatience * FetchTime(*other, m);
         if (cost < least) {
           least = cost;
           chosen = other;
--- a/src/place/locality.cc
+++ b/src/place/locality.cc
@@ -8,9 +8,7 @@
 double Share(const Candidate& c, double pool_gb) { return pool_gb > 0 ? c.held_gb / pool_gb : 0; }
 
 double Score(const Candidate& c, double pool_gb, const Policy& policy) {
-  // Of machines that lack the same, those that are busy for as long anyway, whatever their shares:
-  // work that ends together leaves whole machines free.
-  return -c.missing_gb - policy.epsilon * (Share(c, pool_gb) + (c.prolongs ? 1 : 0));
+  return -c.missing_gb - policy.epsilon * Share(c, pool_gb);
 }
 
 double Cap(size_t block_size, const Policy& policy) {
@@ -51,15 +49,15 @@
                const Policy& policy)
     : pool_gb_(pool_gb), cap_(Cap(block_size, policy)), policy_(policy) {
   for (const Candidate& c : candidates) {
-    if (c.has_room) groups_[{c.missing_gb, c.prolongs}].push_back(c);
+    if (c.has_room) groups_[c.missing_gb].push_back(c);
   }
-  for (auto& [key, group] : groups_) std::make_heap(group.begin(), group.end(), Later);
+  for (auto& [missing, group] : groups_) std::make_heap(group.begin(), group.end(), Later);
 }
 
 size_t Picker::Best() {
   const Candidate* best = nullptr;
   bool best_passes = false;
-  for (const auto& [key, group] : groups_) {
+  for (const auto& [missing, group] : groups_) {
     if (group.empty()) continue;
     const Candidate& c = group.front();
     const bool passes = Share(c, pool_gb_) <= cap_;
@@ -73,7 +71,7 @@
     }
     best = &c;
     best_passes = passes;
-    chosen_ = key;
+    chosen_ = missing;
   }
   return best == nullptr ? kNone : best->machine;
 }
@@ -83,7 +81,6 @@
   pool_gb_ += held_gb - c.held_gb;
   c.held_gb = held_gb;
   c.missing_gb = 0;
-  c.prolongs = false;
   if (has_room) Put(c);
 }
 
@@ -98,7 +95,7 @@
 }
 
 void Picker::Put(const Candidate& c) {
-  Group& group = groups_[{c.missing_gb, c.prolongs}];
+  Group& group = groups_[c.missing_gb];
   group.push_back(c);
   std::push_heap(group.begin(), group.end(), Later);
 }
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -99,7 +99,7 @@
     for (size_t m = 0; m < all.size(); ++m) {
       slots[m] = static_cast<int>(random() % 4);
       all[m] = {m, 0.5 * static_cast<double>(random() % 3),
-                0.25 * static_cast<double>(random() % 60), slots[m] > 0, random() % 2 == 0};
+                0.25 * static_cast<double>(random() % 60), slots[m] > 0};
       pool_gb += all[m].held_gb;
     }
     Picker picker(all, pool_gb, all.size(), policy);
@@ -119,7 +119,6 @@
       pool_gb += held - c.held_gb;
       c.held_gb = held;
       c.missing_gb = 0;
-      c.prolongs = false;
       c.has_room = --slots[expected] > 0;
       picker.Placed(held, c.has_room);
     }
