--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -103,6 +103,8 @@
     std::vector<state::PackedMap::Written> progress;
     bool empty() const { return machines.empty() && progress.empty(); }
   };
+  // Machines came whose entries are not being written yet.
+  bool machines_unrecorded() const { return machines_record_.dirty() && writing_.empty(); }
   // What should be written now, in one transaction; none while the last one taken is out.
   Records TakeRecords(size_t most, size_t bytes);
   void RecordsWritten(uint64_t revision);
--- a/include/mosspath/service/leader.h
+++ b/include/mosspath/service/leader.h
@@ -45,6 +45,7 @@
   void SendDirect();
   void Prune();
   void Flush();
+  void FlushSoon();
   void WriteCompletions();
   void PlanFleet();
   void PlanSoon();
@@ -72,6 +73,7 @@
   std::vector<wire::ListedMachine> listed_;  // pages so far
   double list_asked_ = 0;
   double flush_not_before_ = 0;
+  double last_flush_ = 0;
   uint64_t rent_count_ = 0;
   bool kicked_ = false;
   double next_place_ = 0;
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr double kTypesEveryLeases = 3;
-constexpr double kPauseRatio = 3;  // between passes, in the time that the last one took
+constexpr double kPauseRatio = 3;   // between passes, in the time that the last one took
+constexpr double kFlushSoon = 0.4;  // of the interval of flushes
 constexpr size_t kMostRecordBytes = 48u << 10;  // a request may hold 64 KiB
 constexpr int kMostPerRent = 50;
 constexpr size_t kMostPerDelete = 100;
@@ -87,6 +88,7 @@
     self->WriteCompletions();
     self->SendDirect();
     if (self->dispatcher_.wants_machines()) self->PlanSoon();
+    if (self->dispatcher_.machines_unrecorded()) self->FlushSoon();
     const double now = net::Now();
     self->next_place_ = now + std::max(self->derived_.place_gap_s, kPauseRatio * (now - begun));
   });
@@ -156,9 +158,17 @@
   }
 }
 
+// A new machine takes nothing before its entry is durable, so that isn't left to the next flush.
+void Leader::FlushSoon() {
+  if (net::Now() < flush_not_before_) return;
+  const double wait = last_flush_ + kFlushSoon * derived_.flush_s - net::Now();
+  flush_timer_.After(wait, [self = shared_from_this()] { self->Flush(); });
+}
+
 void Leader::Flush() {
   flush_timer_.After(derived_.flush_s, [self = shared_from_this()] { self->Flush(); });
   if (!Entitled() || net::Now() < flush_not_before_) return;
+  last_flush_ = net::Now();
   const auto records =
       dispatcher_.TakeRecords(static_cast<size_t>(settings_.txn_ops), kMostRecordBytes);
   if (records.empty()) return;
@@ -174,7 +184,8 @@
                 [self = shared_from_this()](state::TxnResult r) {
                   if (self->stopped_) return;
                   if (r.outcome == state::Outcome::kDone) {
-                    return self->dispatcher_.RecordsWritten(r.revision);
+                    self->dispatcher_.RecordsWritten(r.revision);
+                    return self->Kick();
                   }
                   // On a conflict an earlier write of ours was done without our knowing: the mirror
                   // tells the versions.
