--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -137,37 +137,25 @@
     free_room += std::max(0.0, Cpus(*t->second) - u.used_cpus);
     used += u.used_cpus;
   }
-  double urgent = 0;
   double keep_free = in.burst_cpus + tuning.reserve * used;
   for (const Demand& d : in.demand) {
     const auto c = std::find_if(choices.begin(), choices.end(), [&](const Choice& o) {
       return Allows(d, *o.type, o.zone, o.spot);
     });
-    if (c == choices.end()) continue;
-    keep_free += d.waiting * Weight(d, *c->type);
-    if (d.urgent) urgent += d.waiting * Weight(d, *c->type);
+    if (c != choices.end()) keep_free += d.waiting * Weight(d, *c->type);
   }
   double cheap_up = 0;
-  double cheap_coming = 0;
   double ordinary_up = 0;
   std::vector<const Unit*> dear;
   for (const Unit& u : in.units) {
     const auto t = by_name.find(u.type);
-    if (t == by_name.end()) continue;
-    if (!u.up) {
-      cheap_coming += u.spot ? Cpus(*t->second) : 0;
-      continue;
-    }
+    if (t == by_name.end() || !u.up) continue;
     dear.push_back(&u);
     if (u.usable) (u.spot ? cheap_up : ordinary_up) += Cpus(*t->second);
   }
   const bool ordinary_wanted =
       std::any_of(in.demand.begin(), in.demand.end(), [](const Demand& d) { return !d.spot_ok; });
   const bool covered = !ordinary_wanted && cheap_up >= tuning.cheap_cover * ordinary_up;
-  // While cheap ones are on their way, urgent work alone should begin on dear ones when there is
-  // enough of it: it is mostly short, and what runs for long would keep them.
-  const bool soon_covered = !ordinary_wanted && !covered && urgent >= ordinary_up &&
-                            cheap_up + cheap_coming >= tuning.cheap_cover * ordinary_up;
   // Work that it does for its price: a large machine is emptied before it holds but a few tasks.
   const auto density = [&](const Unit* u) {
     const auto* t = by_name[u->type];
@@ -187,10 +175,6 @@
     // A dear machine is no longer worth its price once cheap ones carry the work.
     const bool dear_and_covered = !u->spot && t->spot_price > 0 && covered && !u->needed;
     const double room = std::max(0.0, Cpus(*t) - u->used_cpus);
-    if (!u->spot && t->spot_price > 0 && soon_covered && !u->needed) {
-      plan.rest.push_back(u->id);
-      continue;
-    }
     if (!dear_and_covered && free_room - room < keep_free) continue;
     free_room -= room;
     if (u->idle && (dear_and_covered || u->idle_s >= tuning.keep_idle_boots * t->boot_s)) {
