--- a/include/mosspath/config/operator_settings.h
+++ b/include/mosspath/config/operator_settings.h
@@ -11,7 +11,7 @@
   uint64_t max_machines = 100'000;  // never rent beyond this
   double horizon_boots = 2.0;       // waiting work should be gone within this many boot times
   double keep_idle_boots = 0.2;     // an idle machine is kept for this many boot times
-  double reserve = 0.1;             // room kept above what is wanted, as a share of it
+  double reserve = 0.1;             // free room that is kept, as a share of what is used
   bool preemption = true;           // urgent work may stop lower work
 
   friend bool operator==(const OperatorSettings&, const OperatorSettings&) = default;
--- a/include/mosspath/fleet/planner.h
+++ b/include/mosspath/fleet/planner.h
@@ -50,7 +50,6 @@
   std::vector<std::string> give_back;  // idle, to be deleted now
   std::vector<std::string> drain;      // to take no new tasks
   std::vector<std::string> rest;       // nor these, unless urgent work finds no room elsewhere
-  double wanted_cpus = 0;
 };
 
 using Offer = std::tuple<std::string, std::string, bool>;  // type, zone, spot
@@ -58,7 +57,6 @@
 struct PlannerInput {
   std::vector<wire::MachineType> types;
   std::vector<Demand> demand;
-  double running_cpus = 0;
   double burst_cpus = 0;  // the largest urgent job lately: the next should find room at once
   std::vector<Unit> units;
   std::map<Offer, double> closed_until;  // offers that had no capacity
@@ -68,7 +66,7 @@
 struct PlannerTuning {
   double horizon_boots = 2.0;    // waiting work should be gone within this many boot times
   double keep_idle_boots = 0.2;  // an idle machine is kept for this many boot times
-  double reserve = 0.1;          // room kept above what is wanted, as a share of it
+  double reserve = 0.1;          // free room that is kept, as a share of what is used
   double cheap_cover = 2.0;  // ordinary machines go once cheap ones have this many times their CPUs
   int max_machines = 100'000;
 };
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -71,7 +71,6 @@
   std::stable_sort(order.begin(), order.end(),
                    [&](const Demand* a, const Demand* b) { return breadth(a) < breadth(b); });
 
-  plan.wanted_cpus = in.running_cpus;
   std::map<Offer, double> wanted;
   for (const Demand* d : order) {
     // Enough room to run the waiting work within the horizon, but not more than all at once.
@@ -84,7 +83,6 @@
         const double all = d->waiting * weight;
         const double paced = d->waiting_s * weight / horizon;
         need = d->urgent ? all : std::min(all, std::max(paced, weight));
-        plan.wanted_cpus += need;
       }
       double& room = free_cpus[{c.type->name, c.zone, c.spot}];
       const double taken = std::min(room, need);
--- a/src/place/dispatcher_fleet.cc
+++ b/src/place/dispatcher_fleet.cc
@@ -72,7 +72,6 @@
   for (auto& [id, job] : jobs_) {
     const wire::JobSpec& s = job->spec;
     const double expected = ExpectedRun(*job);
-    in.running_cpus += job->placed() * s.cpus;
     if (job->pending.empty() || now < job->not_before) continue;
     const bool doubtful = Doubtful(*job);
     if (doubtful && job->placed() > 0) continue;
@@ -121,7 +120,7 @@
   std::vector<std::string> late;
   for (auto& [id, m] : machines_) {
     if (m.deleting) continue;
-    if (m.inherited && stragglers) late.push_back(id);
+    if (m.inherited && stragglers && now - m.last_heard > derived_.find_s) late.push_back(id);
     if (m.address.empty()) {  // inherited and not heard of since
       if (now - m.last_answered > derived_.silent_s) doomed.insert(id);
       continue;
--- a/src/place/dispatcher_reports.cc
+++ b/src/place/dispatcher_reports.cc
@@ -97,7 +97,10 @@
     std::vector<wire::Command> commands;
     for (auto& [key, slot] : m.slots) {
       m.todo = m.todo || slot.state == Slot::State::kIntended || (slot.stop && !slot.exited());
-      if (commands.size() >= kMaxCommands) break;
+      if (commands.size() >= kMaxCommands) {
+        m.todo = true;
+        break;
+      }
       if (slot.state == Slot::State::kIntended) {
         if (!may_start) continue;
         slot.state = Slot::State::kSent;
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -226,6 +226,36 @@
                   700, 20);
 }
 
+// Three controllers, six machines and one job of small tasks.
+struct OneJob {
+  OneJob(uint64_t seed, uint32_t tasks, double run_s)
+      : world(SmallSettings(), {SmallType()}, seed) {
+    for (const char* name : {"hut-0", "hut-1", "hut-2"}) world.nodes.emplace_back(name);
+    world.on_report = [this](const std::string& node, const wire::Report& r,
+                             const World::ReportAnswer& answer) {
+      for (auto& c : controllers) {
+        if (c->name() == node) c->OnReport(r, answer);
+      }
+    };
+    for (const auto& n : world.nodes) {
+      controllers.push_back(std::make_unique<Controller>(world, n, 1.0));
+    }
+    for (int i = 0; i < 6; ++i) world.AddMachine("box", "east", false);
+    wire::JobSpec s;
+    s.id = "req-1";
+    s.team = "free";
+    s.tasks = tasks;
+    s.cpus = 1;
+    s.image = "i";
+    s.estimate_s = run_s;
+    world.Submit(s);
+    world.state.Commit({}, {{"job/req-1", wire::Json{}}});
+  }
+
+  World world;
+  std::vector<std::unique_ptr<Controller>> controllers;
+};
+
 // A day at the size that the deployments have grown to: a thousand machines, five controllers,
 // arrays of up to 600 tasks; controllers crash, one and all, the leader is cut off, the state
 // service gets slow and has an outage, machines die.
@@ -307,28 +337,9 @@
 // A leader that lost all workers, but not the state service, kept the leadership until every
 // worker's lease was over, and all tasks with it. Now another controller takes them over in time.
 TEST(Simulation, ALeaderWithoutWorkersResigns) {
-  World world(SmallSettings(), {SmallType()}, 11);
-  for (const char* name : {"hut-0", "hut-1", "hut-2"}) world.nodes.emplace_back(name);
-  std::vector<std::unique_ptr<Controller>> controllers;
-  world.on_report = [&](const std::string& node, const wire::Report& r,
-                        const World::ReportAnswer& answer) {
-    for (auto& c : controllers) {
-      if (c->name() == node) c->OnReport(r, answer);
-    }
-  };
-  for (const auto& n : world.nodes) {
-    controllers.push_back(std::make_unique<Controller>(world, n, 1.0));
-  }
-  for (int i = 0; i < 6; ++i) world.AddMachine("box", "east", false);
-  wire::JobSpec s;
-  s.id = "req-1";
-  s.team = "free";
-  s.tasks = 30;
-  s.cpus = 1;
-  s.image = "i";
-  s.estimate_s = 60;
-  world.Submit(s);
-  world.state.Commit({}, {{"job/req-1", wire::Json{}}});
+  OneJob day(11, 30, 60);
+  World& world = day.world;
+  auto& controllers = day.controllers;
   std::string old_leader;
   world.clock.At(20, [&] {
     for (auto& c : controllers) {
@@ -347,28 +358,8 @@
 // In an outage of several leases, all tasks were lost when their workers' leases ran out. The
 // leader goes on as long as every peer vouches that it won't lead.
 TEST(Simulation, ALongOutageLosesNoTasks) {
-  World world(SmallSettings(), {SmallType()}, 12);
-  for (const char* name : {"hut-0", "hut-1", "hut-2"}) world.nodes.emplace_back(name);
-  std::vector<std::unique_ptr<Controller>> controllers;
-  world.on_report = [&](const std::string& node, const wire::Report& r,
-                        const World::ReportAnswer& answer) {
-    for (auto& c : controllers) {
-      if (c->name() == node) c->OnReport(r, answer);
-    }
-  };
-  for (const auto& n : world.nodes) {
-    controllers.push_back(std::make_unique<Controller>(world, n, 1.0));
-  }
-  for (int i = 0; i < 6; ++i) world.AddMachine("box", "east", false);
-  wire::JobSpec s;
-  s.id = "req-1";
-  s.team = "free";
-  s.tasks = 240;
-  s.cpus = 1;
-  s.image = "i";
-  s.estimate_s = 20;
-  world.Submit(s);
-  world.state.Commit({}, {{"job/req-1", wire::Json{}}});
+  OneJob day(12, 240, 20);
+  World& world = day.world;
   world.clock.At(25, [&] { world.state.Outage(35); });
   size_t before = 0;
   size_t during = 0;
