--- a/include/mosspath/config/operator_settings.h
+++ b/include/mosspath/config/operator_settings.h
@@ -10,7 +10,7 @@
   double epsilon = 1e-3;            // weight of the disk share in the score
   uint64_t max_machines = 100'000;  // never rent beyond this
   double horizon_boots = 2.0;       // waiting work should be gone within this many boot times
-  double keep_idle_boots = 0.2;     // an idle machine is kept for this many boot times
+  double keep_idle_boots = 0.02;    // an idle machine is kept for this many boot times
   double reserve = 0.1;             // free room that is kept, as a share of what is used
   bool preemption = true;           // urgent work may stop lower work
 
--- a/include/mosspath/fleet/planner.h
+++ b/include/mosspath/fleet/planner.h
@@ -64,9 +64,9 @@
 };
 
 struct PlannerTuning {
-  double horizon_boots = 2.0;    // waiting work should be gone within this many boot times
-  double keep_idle_boots = 0.2;  // an idle machine is kept for this many boot times
-  double reserve = 0.1;          // free room that is kept, as a share of what is used
+  double horizon_boots = 2.0;     // waiting work should be gone within this many boot times
+  double keep_idle_boots = 0.02;  // an idle machine is kept for this many boot times
+  double reserve = 0.1;           // free room that is kept, as a share of what is used
   double cheap_cover = 2.0;  // ordinary machines go once cheap ones have this many times their CPUs
   int max_machines = 100'000;
 };
