--- a/src/place/dispatcher_place.cc
+++ b/src/place/dispatcher_place.cc
@@ -152,6 +152,7 @@
     return a.job->spec.id < b.job->spec.id;
   });
   std::vector<Job*> out;
+  out.reserve(ranked.size());
   for (const Ranked& r : ranked) out.push_back(r.job);
   return out;
 }
