--- a/include/mosspath/config/operator_settings.h
+++ b/include/mosspath/config/operator_settings.h
@@ -13,6 +13,8 @@
   double keep_idle_boots = 0.02;    // an idle machine is kept for this many boot times
   double reserve = 0.1;             // free room that is kept, as a share of what is used
   bool preemption = true;           // urgent work may stop lower work
+  double give_ahead = 0.15;         // work that waits with a block's holder, of the block's CPUs
+  bool lease_blocks = true;         // where it is turned on: controllers hold blocks
   bool share_acceptances = true;    // jobs that come together may be recorded together
 
   friend bool operator==(const OperatorSettings&, const OperatorSettings&) = default;
--- a/include/mosspath/config/settings.h
+++ b/include/mosspath/config/settings.h
@@ -60,6 +60,9 @@
   double cpu_share = 1;
   double memory_mb = 0;
   int max_connections = 0;
+
+  // Turned on by whoever starts the program, not by the platform's file (docs/blocks.md).
+  bool lease_blocks = false;
 };
 
 // One clear line that names the offending key.
@@ -87,6 +90,7 @@
   double find_s;           // workers have found a new leader within this, mostly
   double search_s;         // a worker has tried all nodes within this
   double view_s;           // the leader acts on no older view of the jobs than this
+  double hold_s;           // the holder of a block may act for so long after its lease ended
   double silent_s;         // a machine unheard of for this long is suspect
   double flush_s;          // interval of the leader's batched writes
   double place_gap_s;      // least time between two passes over the waiting jobs
--- a/include/mosspath/jobs/job.h
+++ b/include/mosspath/jobs/job.h
@@ -13,7 +13,8 @@
 
 namespace mosspath::jobs {
 
-enum class Phase : uint8_t { kPending, kPlaced, kDone };
+// Away: given to another controller, or never given to this one (docs/blocks.md).
+enum class Phase : uint8_t { kPending, kPlaced, kDone, kAway };
 
 struct Task {
   Phase phase = Phase::kPending;
@@ -40,6 +41,7 @@
   bool doubted = false;
   uint32_t retries = 0;
   double not_before = 0;
+  double given_at = -1e18;      // as a holder: when the leader last gave tasks of it
   std::optional<size_t> block;  // where its tasks go first
   bool finishing = false;       // its completion is being written
   // The record says that its tasks may have been started, by this leader or an earlier one; until
--- a/include/mosspath/picture/machine.h
+++ b/include/mosspath/picture/machine.h
@@ -61,6 +61,18 @@
   double total_ = 0;
 };
 
+// What its holder tells of a machine (seconds, CPUs, GB).
+struct MachineNews {
+  bool usable = false;  // takes new tasks, as far as its holder knows
+  bool idle = false;
+  bool needed = false;  // runs work that allows no cheap machine
+  bool silent = false;
+  double idle_s = 0;
+  double work_s = 0;                         // CPU seconds that its tasks are expected to take yet
+  double cpus = 0, gpus = 0, memory_gb = 0;  // used
+  friend bool operator==(const MachineNews&, const MachineNews&) = default;
+};
+
 struct Machine {
   std::string id;
   std::string address;
@@ -99,6 +111,17 @@
   std::map<SlotKey, Slot> slots;
   ImageCache images;
 
+  // --- Blocks (docs/blocks.md) ---
+  uint64_t lease = 0;       // another controller holds it under this lease; 0: this one
+  uint64_t leaving = 0;     // is being handed over under that one; takes nothing new
+  bool counted = false;     // inherited, and a takeover waits for it
+  bool retoken = false;     // its holder is gone: nothing is said to it before its token is raised
+  uint64_t entry_no = 0;    // changes of its entry in the record
+  bool asked_back = false;  // its holder is to give it back
+  double kept_until = -1e18;  // not handed over before
+  MachineNews news;           // from its holder; as of
+  double news_at = -1e18;
+
   bool in_record = false;  // its entry is in the record, durable or not
   bool recorded = false;   // its entry in the record is durable
   bool unsure = false;     // has a start that got no answer
--- a/include/mosspath/picture/picture.h
+++ b/include/mosspath/picture/picture.h
@@ -5,7 +5,10 @@
 // (docs/design.md, rule 3):
 //   - a machine's use is the sum of its slots' sizes, and so is a team's;
 //   - a task is pending, done, or placed; it is placed if a slot that is no orphan holds it;
-//   - a job's counts by zone are those of its placed tasks.
+//   - a job's counts by zone are those of its placed tasks;
+//   - a task that another controller has is away, and counts towards its team, until that
+//   controller
+//     says that it is back, or every machine of that controller is known (docs/blocks.md).
 #pragma once
 
 #include <map>
@@ -14,6 +17,7 @@
 
 #include "mosspath/config/settings.h"
 #include "mosspath/jobs/job.h"
+#include "mosspath/picture/away.h"
 #include "mosspath/picture/machine.h"
 #include "mosspath/picture/team_use.h"
 #include "mosspath/picture/types.h"
@@ -37,11 +41,18 @@
   // The attempt is certainly not on the machine any more.
   void Gone(Machine& m, std::map<SlotKey, Slot>::iterator it, double now);
   void AllGone(Machine& m, double now);
+  // Another controller has the task from now on, under that lease.
+  void SendAway(jobs::Job& job, uint32_t index, uint64_t lease);
+  // It is certainly not with the holder of that lease; waits again unless its job is over. False:
+  // it was not there.
+  bool ComeBack(const wire::TaskId& task, uint64_t lease);
   // Whether the machine takes new tasks.
   bool Usable(const Machine& m, double now) const;
 
   Jobs jobs;
-  Machines machines;
+  Machines machines;  // commanded by this controller
+  Machines lent;      // commanded by others, as they tell; without their tasks
+  Away away;
   Types types;
   TeamUse teams;
   bool changed = true;  // since the last pass over the waiting jobs
--- a/include/mosspath/picture/team_use.h
+++ b/include/mosspath/picture/team_use.h
@@ -21,6 +21,7 @@
   void Add(const std::string& team, double cpus, double gpus);
   void Remove(const std::string& team, double cpus, double gpus);
   void Unknown() { ++unknown_; }
+  bool Unlimited(const std::string& team) const;
   // How many tasks of the job its team's limit allows more. `settled`: everything that may run of
   // earlier leaders is counted.
   size_t Room(const jobs::Job& job, bool settled) const;
--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -16,9 +16,11 @@
 #include "mosspath/place/aims.h"
 #include "mosspath/place/health.h"
 #include "mosspath/place/hires.h"
+#include "mosspath/place/leased.h"
 #include "mosspath/place/orders.h"
 #include "mosspath/place/placer.h"
 #include "mosspath/place/records.h"
+#include "mosspath/place/search.h"
 #include "mosspath/place/takeover.h"
 #include "mosspath/wire/digest.h"
 #include "mosspath/wire/messages.h"
@@ -36,6 +38,9 @@
   uint32_t running = 0;
 };
 
+// Seconds that what is in the slot is taken to run yet.
+double LeftToRun(const picture::Slot& slot, double now);
+
 class Dispatcher {
  public:
   // One leadership: nothing is known but what is loaded next. `now` is after the last moment at
@@ -70,10 +75,10 @@
   void DeletionFailed(const std::string& id);
   // A whole list of machines, asked for at `asked`.
   void OnListed(const std::vector<wire::ListedMachine>& machines, double asked, double now) {
-    hires_.Listed(machines, picture_.machines, asked, now);
+    hires_.Listed(machines, {&picture_.machines, &picture_.lent}, asked, now);
   }
   void Rented(const std::vector<std::string>& ids, const fleet::Wish& offer, double now) {
-    hires_.Rented(ids, offer, picture_.machines, now);
+    hires_.Rented(ids, offer, {&picture_.machines, &picture_.lent}, now);
   }
   void RentRefused(const fleet::Wish& offer, double until) { hires_.Refused(offer, until); }
 
@@ -98,12 +103,48 @@
   Records::Batch TakeRecords(size_t most, size_t bytes) {
     return records_.Take(most, bytes, picture_);
   }
-  void RecordsWritten(uint64_t revision) { records_.Written(revision, picture_); }
+  void RecordsWritten(uint64_t revision, double now);
   void RecordsFailed() { records_.Failed(); }
   // The state service shows a pack of ours under this version.
   void SeenProgress(int pack, uint64_t version) { records_.SeenProgress(pack, version); }
   void SeenMachines(int pack, uint64_t version) { records_.SeenMachines(pack, version); }
 
+  // --- Blocks, as the leader (docs/blocks.md) ---
+  // From now on machines are handed to the holders of blocks. `own`: the leader's block.
+  void LeadBlocks(size_t own) { leased_.Lead(own); }
+  // A controller holds this block under this lease. `inherited`: since an earlier leader.
+  void OpenLease(uint64_t lease, size_t block, bool inherited);
+  // Its holder talks with us, or no longer does: only then it is given anything.
+  void LeaseReady(uint64_t lease, bool ready);
+  // The lease is over. Its holder may have acted until `last_acted`.
+  void CloseLease(uint64_t lease, double last_acted, double now);
+  bool HasLease(uint64_t lease) const { return leased_.Find(lease) != nullptr; }
+  // What its holder says.
+  void FromHolder(uint64_t lease, const wire::BlockItem& item, double now);
+  std::vector<wire::BlockItem> ForHolder(uint64_t lease) { return leased_.TakeItems(lease); }
+  // The lease under which a machine is another controller's; 0: it is ours, or unknown.
+  uint64_t LeaseOf(const std::string& machine) const;
+
+  // --- Blocks, as a holder ---
+  // Nothing but what the leader gives is placed, on no machine but those of the block.
+  void HoldBlock(size_t own) { leased_.Hold(own); }
+  // The job as the mirror knows it; its tasks are others' until they are given.
+  void KnowJob(wire::JobSpec spec, uint64_t version, double submitted);
+  // The machine is ours under this token.
+  void TakeMachine(const std::string& id, const std::string& address, uint64_t token, double now);
+  bool Commands(const std::string& id) const { return picture_.machines.contains(id); }
+  void FromLeader(const wire::BlockItem& item, double now);
+  std::vector<wire::BlockItem> ForLeader() { return leased_.TakeItems(0); }
+  // All tasks that it has or may have, and completions that are not known to be durable: for a
+  // leader that begins.
+  std::vector<wire::BlockItem> AllHeld() const;
+  // Every machine that it was assigned is known.
+  bool AllKnown() const;
+  // Gives back what has waited for room for so long, and machines that are lost or asked back.
+  void GiveBack(double patience_s, bool leader_hears, double now);
+  wire::BlockItem Load(uint64_t applied) const;
+  wire::BlockItem News(const picture::Machine& m, double now) const;
+
   void Apply(const config::OperatorSettings& s);
   // See Placer.
   void MarkedSince(uint64_t version) { placer_.MarkedSince(version); }
@@ -140,6 +181,21 @@
   void RaiseTokens();
   // --- The fleet ---
   void MoveOff(double now);
+  // Every machine that can be used or be told about, whoever commands it.
+  picture::Machine* FindAny(const std::string& id);
+  // --- Blocks ---
+  void Claim(uint64_t lease, const wire::BlockItem& item, double now);
+  void DoneAt(uint64_t lease, const wire::BlockItem& item, double now);
+  void NewsOf(uint64_t lease, const wire::BlockItem& item, double now);
+  void GivenBack(uint64_t lease, const wire::BlockItem& item, double now);
+  void TellKept();
+  void HandOverSome(double now);
+  void Hand(picture::Machine& m, double now);
+  void AskBackSome(double now);
+  picture::Machine& TakeIn(const picture::Machine& lent, double last_acted);
+  void KnownOrGone(const std::string& machine);
+  void StopHeld(const std::string& job, uint32_t index);
+  bool Seeks(const wire::TaskId& task) const;
   // --- For people ---
   const char* WhyWaiting(const jobs::Job& job, double now) const;
   void LogSummary(double now);
@@ -152,13 +208,16 @@
   Activity activity_;
   picture::Picture picture_;
   Takeover takeover_;
+  Search search_;
+  Leased leased_;
   Records records_;
   Hires hires_;
   const Health health_;
   Placer placer_;
   Tuning tuning_;
-  uint64_t taken_in_ = 0;    // reports
-  bool wants_plan_ = false;  // something came since the last plan
+  std::map<std::string, std::vector<uint32_t>> over_;  // as a holder: tasks of jobs that ended
+  uint64_t taken_in_ = 0;                              // reports
+  bool wants_plan_ = false;                            // something came since the last plan
 };
 
 }  // namespace mosspath::place
--- a/include/mosspath/place/hires.h
+++ b/include/mosspath/place/hires.h
@@ -23,8 +23,10 @@
   };
   const std::map<std::string, Booting>& booting() const { return booting_; }
 
-  void Rented(const std::vector<std::string>& ids, const fleet::Wish& offer,
-              const picture::Machines& machines, double now);
+  using Fleet = std::vector<picture::Machines*>;  // all that are up
+
+  void Rented(const std::vector<std::string>& ids, const fleet::Wish& offer, const Fleet& fleet,
+              double now);
   void Refused(const fleet::Wish& offer, double until);
   const std::map<fleet::Offer, double>& closed_until() const { return closed_until_; }
   // The machine reports.
@@ -33,8 +35,8 @@
   void Deleted(const std::string& id, double now);
   bool dead(const std::string& id) const { return dead_.contains(id); }
   // A whole list of machines, asked for at `asked`: tells which have failed, come up or vanished.
-  void Listed(const std::vector<wire::ListedMachine>& listed, picture::Machines& machines,
-              double asked, double now);
+  void Listed(const std::vector<wire::ListedMachine>& listed, const Fleet& fleet, double asked,
+              double now);
 
   // An urgent job's size: the next should find room at once.
   void Urgent(double submitted, double cpus) { arrivals_.push_back({submitted, cpus}); }
--- a/include/mosspath/place/placer.h
+++ b/include/mosspath/place/placer.h
@@ -9,6 +9,7 @@
 #include "mosspath/picture/picture.h"
 #include "mosspath/place/aims.h"
 #include "mosspath/place/blocks.h"
+#include "mosspath/place/leased.h"
 #include "mosspath/place/locality.h"
 #include "mosspath/place/records.h"
 #include "mosspath/place/takeover.h"
@@ -19,9 +20,13 @@
  public:
   // All that it refers to outlives it. `token`: what attempts begin with.
   Placer(const config::Settings& settings, picture::Picture& picture, const Aims& aims,
-         const Takeover& takeover, Records& records, uint64_t token);
+         const Takeover& takeover, Records& records, Leased& leased, uint64_t token);
 
-  void Apply(const Policy& policy) { policy_ = policy; }
+  // `ahead`: work that holders are given beyond their room, as a share of their CPUs.
+  void Apply(const Policy& policy, double ahead) {
+    policy_ = policy;
+    ahead_ = ahead;
+  }
   const Blocks& blocks() const { return blocks_; }
 
   // A pass over the waiting jobs, if anything has changed since the last.
@@ -47,6 +52,13 @@
   // under our token, or no earlier leader has marked it.
   bool MayStart(const jobs::Job& job) const;
   bool Allowed(const jobs::Job& job, const picture::Machine& m, double now) const;
+  // Whether its tasks may be given to holders of blocks. What needs one view is the leader's:
+  // gangs, services, tasks that must be together or apart, jobs that fail everywhere.
+  bool Givable(const jobs::Job& job) const;
+  // Where the machine is placed: what the leader or a holder commands is one block.
+  size_t BlockOf(const picture::Machine& m) const {
+    return leased_.role() == Leased::Role::kAlone ? blocks_.Of(m.id, m.zone) : leased_.own();
+  }
 
   // Jobs tried and machines looked at for them, so far.
   uint64_t placements() const { return placements_; }
@@ -60,6 +72,8 @@
   // False when it found too little room.
   bool PlaceJob(jobs::Job& job, const Pool& pool, double now);
   bool Put(jobs::Job& job, picture::Machine& m, double now);
+  // Gives holders work beyond their room, so that they have some when room comes free.
+  void PlaceAhead(double now);
   bool IsMarked(const jobs::Job& job) const;
   // Whether the job may be started as far as its mark goes; asks for the mark if not.
   bool Cleared(jobs::Job& job);
@@ -73,9 +87,11 @@
   const Aims& aims_;
   const Takeover& takeover_;
   Records& records_;
+  Leased& leased_;
   const uint64_t token_;
   const Blocks blocks_;
   Policy policy_;
+  double ahead_ = 0;
   uint64_t marked_since_ = kNever;
   bool marks_ = false;
   std::vector<jobs::Job*> order_;  // of the jobs that the last pass left waiting, or may have
--- a/include/mosspath/place/records.h
+++ b/include/mosspath/place/records.h
@@ -19,6 +19,10 @@
 
 namespace mosspath::place {
 
+// A machine's entry: its worker's address, and the lease under which another controller holds it.
+std::string MachineEntry(const std::string& address, uint64_t lease);
+std::pair<std::string, uint64_t> ReadMachineEntry(const wire::Json& entry);
+
 class Records {
  public:
   explicit Records(const config::Settings& settings);
@@ -44,6 +48,8 @@
   void Mark(jobs::Job& job);
   void Forget(const jobs::Job& job);
   void AddMachine(const std::string& id, const std::string& address);
+  // The machine is held under that lease from when this is durable; 0: by the leader.
+  void AssignMachine(picture::Machine& m, const std::string& address, uint64_t lease);
   void DropMachine(const std::string& id);
   // The machine's pack is written again as it is: its revision serves as a token.
   void TouchMachine(const std::string& id) { machines_.Touch(id); }
@@ -52,7 +58,8 @@
 
   // --- Writing ---
   Batch Take(size_t most, size_t bytes, const picture::Picture& picture);
-  void Written(uint64_t revision, picture::Picture& picture);
+  // The machines whose entries have become durable with it.
+  std::vector<std::string> Written(uint64_t revision, picture::Picture& picture);
   void Failed();
   void SeenProgress(int pack, uint64_t version) { Of(pack).Seen(Own(pack), version); }
   void SeenMachines(int pack, uint64_t version) { machines_.Seen(pack, version); }
@@ -75,9 +82,10 @@
   std::set<std::pair<std::string, uint32_t>> unstaged_;       // job, segment: not in progress_ yet
   Batch writing_;
   std::vector<std::pair<std::string, uint32_t>> writing_tasks_;
-  std::vector<std::string> writing_machines_;
+  std::vector<std::pair<std::string, uint64_t>> writing_machines_;  // and the number of the entry
   std::vector<std::string> unmarked_;  // jobs whose marks are not durable yet
   std::vector<std::string> writing_marks_;
+  uint64_t entries_ = 0;  // changes of machines' entries
   uint64_t newest_revision_ = 0;
 };
 
--- a/include/mosspath/place/takeover.h
+++ b/include/mosspath/place/takeover.h
@@ -7,12 +7,15 @@
 // (rule 5 of docs/design.md).
 #pragma once
 
+#include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "mosspath/config/settings.h"
 #include "mosspath/picture/picture.h"
 #include "mosspath/place/orders.h"
+#include "mosspath/place/search.h"
 
 namespace mosspath::place {
 
@@ -28,10 +31,16 @@
   // Since it began, or last stood still.
   double listening_since() const { return listening_since_; }
   // Every place that tasks of earlier leaders could be at is known.
-  bool settled() const { return inherited_ == 0; }
+  bool settled() const { return inherited_ == 0 && awaited_.empty(); }
 
-  // A machine of the predecessor's list.
-  void Inherit(picture::Machine& m);
+  // A machine of the predecessor's list, or one that another controller commanded until now, which
+  // only that controller's tasks wait for (`counted` false).
+  void Inherit(picture::Machine& m, bool counted = true);
+  // The holder of this lease has not told yet what it has.
+  void Await(uint64_t lease) { awaited_.insert(lease); }
+  bool Awaits(uint64_t lease) const { return awaited_.contains(lease); }
+  // It has, or its machines are asked instead. True: nothing else is waited for.
+  bool Heard(uint64_t lease) { return awaited_.erase(lease) > 0 && settled(); }
   // The machine is known, or certainly has nothing of earlier leaders; true if it was the last.
   bool RuleOut(picture::Machine& m);
 
@@ -45,7 +54,8 @@
   // Workers may not have found us yet: asked again until they have.
   bool searching(double now) const { return now - begun_ < search_s_; }
   // Machines that are given up so that the others needn't wait.
-  std::vector<std::string> Stragglers(const picture::Machines& machines, double now) const;
+  std::vector<std::string> Stragglers(const picture::Machines& machines, const Search& search,
+                                      double now) const;
 
   // Most workers that were heard are silent now, all at once.
   bool Blind(const picture::Machines& machines, double now);
@@ -59,9 +69,10 @@
   const double find_s_;
   double listening_since_;
   double blind_since_ = -1;
-  size_t inherited_ = 0;  // machines that are not ruled out yet
-  size_t total_ = 0;      // machines taken over in all
-  size_t asking_ = 0;     // of them, how many are being asked
+  size_t inherited_ = 0;        // machines that are not ruled out yet
+  size_t total_ = 0;            // machines taken over in all
+  std::set<uint64_t> awaited_;  // leases
+  size_t asking_ = 0;           // of them, how many are being asked
 };
 
 }  // namespace mosspath::place
--- /dev/null
+++ b/src/block/holder.cc
@@ -0,0 +1,165 @@
+#include "mosspath/block/holder.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace mosspath::block {
+namespace {
+
+using Kind = wire::BlockItem::Kind;
+
+constexpr double kNewsPerReport = 8;  // times in a report interval that machines are told of
+constexpr double kHeartbeats = 4;     // frames in a report interval, at least
+constexpr double kPatience = 2;       // report intervals that tasks wait for room here
+constexpr size_t kMostOutstanding = wire::kMaxBlockFrame / 4;  // bytes, before machines wait
+constexpr double kIdleStep = 1;    // seconds; smaller changes of times are no news
+constexpr double kWorkStep = 0.2;  // of the work that is left; smaller changes are no news
+
+bool Same(const wire::BlockItem& a, const wire::BlockItem& b) {
+  const auto& x = *a.machine;
+  const auto& y = *b.machine;
+  if (x.usable != y.usable || x.idle != y.idle || x.needed != y.needed || x.silent != y.silent ||
+      x.cpus != y.cpus || x.gpus != y.gpus || x.memory_gb != y.memory_gb || x.type != y.type ||
+      x.address != y.address) {
+    return false;
+  }
+  // An idle machine's time runs on with the clock of whoever was told.
+  return x.idle || std::abs(x.work_s - y.work_s) <= kWorkStep * y.work_s + kIdleStep;
+}
+
+}  // namespace
+
+Holder::Holder(const config::Settings& settings, const config::Derived& derived, size_t own_block,
+               uint64_t lease, double now, FindJob find_job)
+    : settings_(settings),
+      derived_(derived),
+      lease_(lease),
+      find_job_(std::move(find_job)),
+      dispatcher_(settings, derived, lease, now) {
+  dispatcher_.HoldBlock(own_block);
+}
+
+void Holder::Assigned(const std::string& machine, const std::string& address, uint64_t version,
+                      double now) {
+  // What was given back is somebody else's as soon as that is known there, whatever the record says
+  // until it is written again.
+  if (given_back_.contains(machine)) return;
+  dispatcher_.TakeMachine(machine, address, version, now);
+}
+
+void Holder::LeaderIs(uint64_t token) {
+  if (token == leader_) return;
+  leader_ = token;
+  channel_ = Channel();
+  told_all_ = synced_ = false;
+  told_.clear();
+  applied_ = 0;
+  heard_leader_ = -1e18;
+  next_frame_ = next_news_ = -1e18;
+}
+
+void Holder::Know(const std::string& job) {
+  if (dispatcher_.FindJob(job) != nullptr) return;
+  if (auto known = find_job_(job)) {
+    dispatcher_.KnowJob(std::move(known->spec), known->version, known->submitted);
+  }
+}
+
+// What runs here and is not known is taken for a job's that is over.
+void Holder::Know(const wire::Report& r) {
+  for (const auto& t : r.tasks) Know(t.task.job);
+}
+
+place::ReportAnswer Holder::OnReport(const wire::Report& r, double now) {
+  if (!dispatcher_.Commands(r.machine)) return {};
+  Know(r);
+  return dispatcher_.OnReport(r, now);
+}
+
+void Holder::OnDirect(const place::DirectOrder& order, place::DirectOutcome outcome,
+                      const wire::Report* report, double now) {
+  if (report != nullptr) Know(*report);
+  dispatcher_.OnDirect(order, outcome, report, now);
+}
+
+bool Holder::OnFrame(const wire::BlockFrame& frame, double now) {
+  if (!frame.from_leader || frame.lease != lease_ || frame.leader != leader_) return false;
+  heard_leader_ = now;
+  for (const auto& item : channel_.Take(frame)) {
+    if (item.kind == Kind::kGive) {
+      Know(item.name);
+      applied_ = std::max(applied_, item.count);
+    } else if (item.kind == Kind::kHanded) {
+      Know(item.job);
+    }
+    dispatcher_.FromLeader(item, now);
+  }
+  return true;
+}
+
+void Holder::Collect(uint64_t revision, double now) {
+  if (!told_all_) {
+    // Whatever was to be told to an earlier leader is part of what is held now.
+    for (auto& item : dispatcher_.ForLeader()) {
+      if (item.kind == Kind::kGivenBack) given_back_[item.name] = item.count;
+    }
+    for (const auto& item : dispatcher_.AllHeld()) channel_.Send(item);
+    for (const auto& [id, lost] : given_back_) {
+      channel_.Send({.kind = Kind::kGivenBack, .name = id, .count = lost});
+    }
+    told_all_ = true;
+  }
+  for (auto& item : dispatcher_.ForLeader()) {
+    if (item.kind == Kind::kGivenBack) {
+      given_back_[item.name] = item.count;
+      told_.erase(item.name);
+    }
+    channel_.Send(item);
+  }
+  if (!synced_ && dispatcher_.AllKnown()) {
+    synced_ = true;
+    channel_.Send({.kind = Kind::kSynced, .count = revision});
+  }
+  if (now < next_news_ || channel_.bytes() > kMostOutstanding) return;
+  next_news_ = now + settings_.report_s / kNewsPerReport;
+  channel_.Send(dispatcher_.Load(applied_));
+  for (const auto& [id, m] : dispatcher_.machines()) {
+    if (m.address.empty()) continue;
+    wire::BlockItem news = dispatcher_.News(m, now);
+    auto it = told_.find(id);
+    if (it != told_.end() && Same(it->second, news)) continue;
+    channel_.Send(news);
+    told_[id] = std::move(news);
+  }
+  std::erase_if(told_, [&](const auto& t) { return !dispatcher_.machines().contains(t.first); });
+}
+
+std::optional<wire::BlockFrame> Holder::NextFrame(uint64_t revision, double now) {
+  // A leader that the mirror has not caught up with would be told too little.
+  if (leader_ == 0 || revision < leader_) return std::nullopt;
+  Collect(revision, now);
+  if (!channel_.fresh() && now < next_frame_) return std::nullopt;
+  next_frame_ = now + settings_.report_s / kHeartbeats;
+  return Answer();
+}
+
+wire::BlockFrame Holder::Answer() {
+  wire::BlockFrame frame;
+  frame.leader = leader_;
+  frame.lease = lease_;
+  frame.room = wire::kMaxBlockFrame;
+  channel_.Fill(frame);
+  channel_.Sent(frame);
+  return frame;
+}
+
+void Holder::Tick(double now) {
+  dispatcher_.Tick(now);
+  const bool hears = now - heard_leader_ < settings_.report_s / 2 + derived_.place_gap_s;
+  dispatcher_.GiveBack(kPatience * settings_.report_s, hears, now);
+}
+
+}  // namespace mosspath::block
--- a/src/config/operator_settings.cc
+++ b/src/config/operator_settings.cc
@@ -40,6 +40,10 @@
       s.reserve = Ratio(key, v, 0.0, 10);
     } else if (key == "preemption") {
       s.preemption = Switch(key, v);
+    } else if (key == "give_ahead") {
+      s.give_ahead = Ratio(key, v, 0.0, 10);
+    } else if (key == "lease_blocks") {
+      s.lease_blocks = Switch(key, v);
     } else if (key == "share_acceptances") {
       s.share_acceptances = Switch(key, v);
     } else {
@@ -57,6 +61,8 @@
           {"keep_idle_boots", s.keep_idle_boots},
           {"reserve", s.reserve},
           {"preemption", s.preemption},
+          {"give_ahead", s.give_ahead},
+          {"lease_blocks", s.lease_blocks},
           {"share_acceptances", s.share_acceptances}};
 }
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -170,6 +170,8 @@
   // from then on and their leases end what they run by T + view_s + gone_s, which is before T +
   // cancel_s.
   view_s = std::max(kViewShare * (s.cancel_s - gone_s), s.report_s);
+  // By its own clock a view must not be older than view_s.
+  hold_s = view_s * (1 + 2 * kDrift);
   flush_s = std::max(0.25, 6.0 / s.state_write_rps);
   place_gap_s = s.report_s / 40;
   plan_gap_s = 1 / s.cloud_rps;
--- a/src/picture/picture.cc
+++ b/src/picture/picture.cc
@@ -59,7 +59,31 @@
   while (!m.slots.empty()) Gone(m, m.slots.begin(), now);
 }
 
+void Picture::SendAway(Job& job, uint32_t index, uint64_t lease) {
+  job.pending.erase(index);
+  job.tasks[index].phase = Phase::kAway;
+  away.Add({job.spec.id, index}, lease, {job.spec.team, job.spec.cpus, job.spec.gpus});
+  teams.Add(job.spec.team, job.spec.cpus, job.spec.gpus);
+}
+
+bool Picture::ComeBack(const wire::TaskId& task, uint64_t lease) {
+  const auto size = away.Remove(task, lease);
+  if (!size) return false;
+  teams.Remove(size->team, size->cpus, size->gpus);
+  changed = true;
+  Job* job = Find(task.job);
+  if (job == nullptr || job->tasks[task.index].phase != Phase::kAway) return true;
+  job->tasks[task.index].phase = Phase::kPending;
+  job->pending.insert(task.index);
+  return true;
+}
+
 bool Picture::Usable(const Machine& m, double now) const {
+  if (m.leaving != 0) return false;
+  if (m.lease != 0) {
+    return m.news.usable && !m.asked_back && !m.deleting && m.cpus > 0 &&
+           now - m.news_at < silent_s_;
+  }
   return m.confirmed && !m.lost && !m.deleting && !m.condemned && !m.notice_at && m.cpus > 0 &&
          now - m.last_heard < silent_s_;
 }
--- a/src/picture/team_use.cc
+++ b/src/picture/team_use.cc
@@ -18,6 +18,12 @@
   if (team.empty() && unknown_ > 0) --unknown_;
 }
 
+bool TeamUse::Unlimited(const std::string& name) const {
+  const auto team =
+      std::find_if(teams_.begin(), teams_.end(), [&](const auto& t) { return t.name == name; });
+  return team != teams_.end() && team->cpus_max <= 0 && team->gpus_max <= 0;
+}
+
 size_t TeamUse::Room(const jobs::Job& job, bool settled) const {
   const auto team = std::find_if(teams_.begin(), teams_.end(),
                                  [&](const auto& t) { return t.name == job.spec.team; });
--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -36,7 +36,7 @@
       records_(settings),
       hires_(settings, derived),
       health_(settings),
-      placer_(settings_, picture_, aims_, takeover_, records_, token) {}
+      placer_(settings_, picture_, aims_, takeover_, records_, leased_, token) {}
 
 void Dispatcher::LoadProgress(int pack, const wire::Json& value, uint64_t version) {
   if (value.is_object()) records_.LoadProgress(pack, value, version);
@@ -45,24 +45,36 @@
 void Dispatcher::LoadMachines(int pack, const wire::Json& value, uint64_t version) {
   if (!value.is_object()) return;
   records_.LoadMachines(pack, value, version);
-  for (const auto& [id, address] : value.items()) {
+  for (const auto& [id, entry] : value.items()) {
+    const auto [address, lease] = ReadMachineEntry(entry);
+    if (const Leased::Lease* l = leased_.Find(lease)) {
+      // Its holder says what is on it. Never a machine of ours as well: an entry stands in one
+      // pack.
+      Machine& m = picture_.lent[id];
+      m.id = id;
+      m.lease = lease;
+      m.block = l->block;
+      m.in_record = m.recorded = true;
+      m.recorded_address = address;
+      m.first_heard = m.last_heard = takeover_.begun();
+      continue;
+    }
     Machine& m = picture_.machines[id];
     m.in_record = m.recorded = true;
     if (m.inherited) continue;
     m.id = id;
     m.token = token_;
-    // Earlier versions recorded the zone here.
-    if (address.is_string() &&
-        address.get_ref<const std::string&>().find(':') != std::string::npos) {
-      m.recorded_address = address.get<std::string>();
-    }
+    m.recorded_address = address;
     takeover_.Inherit(m);
+    // A holder of the past, whose lease we don't see, acts for as long as its view is fresh.
+    if (lease != 0) m.last_answered += derived_.hold_s;
   }
 }
 
 void Dispatcher::SetTypes(std::vector<wire::MachineType> types) {
   picture_.types.Set(std::move(types));
   for (auto& [id, m] : picture_.machines) picture_.types.Fit(m);
+  for (auto& [id, m] : picture_.lent) picture_.types.Fit(m);
   picture_.changed = true;
 }
 
@@ -70,6 +82,7 @@
   const bool inherited = m.inherited;
   takeover_.RuleOut(m);
   picture_.changed = picture_.changed || inherited;
+  KnownOrGone(m.id);
 }
 
 // ---------------------------------------------------------------------------- jobs
@@ -95,6 +108,21 @@
   if (it == picture_.jobs.end()) return;
   records_.Forget(*it->second);
   placer_.Forget(*it->second);
+  // What holders still have of it counts towards its team until they say that it is gone.
+  for (const auto& task : picture_.away.Of(id)) {
+    if (picture_.teams.Unlimited(it->second->spec.team)) {
+      picture_.ComeBack(task, picture_.away.Under(task));
+    }
+  }
+  if (leased_.holds()) {
+    std::vector<uint32_t> held;
+    for (uint32_t i = 0; i < it->second->spec.tasks; ++i) {
+      const auto phase = it->second->tasks[i].phase;
+      const bool sought = picture_.away.Under({id, i}) != 0;
+      if (phase == Phase::kPlaced || phase == Phase::kPending || sought) held.push_back(i);
+    }
+    if (!held.empty()) over_[id] = std::move(held);
+  }
   picture_.jobs.erase(it);
   for (auto& [mid, m] : picture_.machines) {
     auto slot = m.slots.lower_bound({{id, 0}, 0});
@@ -135,17 +163,29 @@
 // ---------------------------------------------------------------------------- machines
 
 void Dispatcher::MachineDeleting(const std::string& id) {
-  if (auto it = picture_.machines.find(id); it != picture_.machines.end())
-    it->second.deleting = true;
+  if (Machine* m = FindAny(id)) m->deleting = true;
 }
 
 void Dispatcher::DeletionFailed(const std::string& id) {
-  if (auto it = picture_.machines.find(id); it != picture_.machines.end())
-    it->second.deleting = false;
+  if (Machine* m = FindAny(id)) m->deleting = false;
+}
+
+Machine* Dispatcher::FindAny(const std::string& id) {
+  if (auto it = picture_.machines.find(id); it != picture_.machines.end()) return &it->second;
+  if (auto it = picture_.lent.find(id); it != picture_.lent.end()) return &it->second;
+  return nullptr;
 }
 
 void Dispatcher::MachineDeleted(const std::string& id, double now) {
   hires_.Deleted(id, now);
+  if (auto lent = picture_.lent.find(id); lent != picture_.lent.end()) {
+    wire::BlockItem item{.kind = wire::BlockItem::Kind::kDeleted, .name = id};
+    leased_.ToHolder(lent->second.lease, std::move(item));
+    picture_.lent.erase(lent);
+    records_.DropMachine(id);
+    picture_.changed = true;
+    return;
+  }
   auto it = picture_.machines.find(id);
   if (it == picture_.machines.end()) return;
   RuleOut(it->second);
@@ -171,9 +211,11 @@
       m.least_session = m.session + 1;
       picture_.AllGone(m, now);
       RuleOut(m);
-      m.in_record = m.recorded = false;
-      records_.DropMachine(id);
-      if (m.address.empty()) picture_.machines.erase(it);
+      if (!leased_.holds()) {
+        m.in_record = m.recorded = false;
+        records_.DropMachine(id);
+        if (m.address.empty()) picture_.machines.erase(it);
+      }
     }
     it = next;
   }
@@ -200,9 +242,11 @@
     }
   }
   RaiseTokens();
+  if (leased_.leads()) HandOverSome(now);
   picture_.changed = true;
   Place(now);
   if (tuning_.preemption) placer_.Preempt(now);
+  if (leased_.leads()) AskBackSome(now);
   LogSummary(now);
 }
 
@@ -214,10 +258,13 @@
   if (now < job.not_before) return "workers do not know it yet";
   if (picture_.teams.Room(job, settled()) == 0) return "its team is at its limit";
   if (picture_.types.empty()) return "the machine types are not known yet";
+  const auto usable = [&](const auto& m) {
+    return picture_.Usable(m.second, now) && placer_.Allowed(job, m.second, now);
+  };
+  const auto& own = picture_.machines;
+  const auto& lent = picture_.lent;
   const bool any =
-      std::any_of(picture_.machines.begin(), picture_.machines.end(), [&](const auto& m) {
-        return picture_.Usable(m.second, now) && placer_.Allowed(job, m.second, now);
-      });
+      std::any_of(own.begin(), own.end(), usable) || std::any_of(lent.begin(), lent.end(), usable);
   return any ? "all machines that it may use are busy" : "no machine that it may use is up";
 }
 
@@ -275,8 +322,14 @@
     g.spot = spot;
     return g;
   };
-  for (const auto& [id, m] : picture_.machines) {
-    if (!picture_.Usable(m, now)) continue;
+  std::vector<const Machine*> usable;
+  for (const auto* machines : {&picture_.machines, &picture_.lent}) {
+    for (const auto& [id, m] : *machines) {
+      if (picture_.Usable(m, now)) usable.push_back(&m);
+    }
+  }
+  for (const Machine* each : usable) {
+    const Machine& m = *each;
     auto& g = group(m.type, m.zone, m.spot);
     ++g.up;
     g.draining += m.draining ? 1 : 0;
@@ -291,7 +344,7 @@
 }
 
 void Dispatcher::Apply(const config::OperatorSettings& s) {
-  placer_.Apply({s.gamma, s.epsilon});
+  placer_.Apply({s.gamma, s.epsilon}, s.give_ahead);
   tuning_.fleet.max_machines = static_cast<int>(s.max_machines);
   tuning_.fleet.horizon_boots = s.horizon_boots;
   tuning_.fleet.keep_idle_boots = s.keep_idle_boots;
@@ -323,13 +376,15 @@
   if (!activity_.LogDue(now)) return;
   int up = 0, dear = 0, draining = 0;
   double cpus = 0, used = 0;
-  for (const auto& [id, m] : picture_.machines) {
-    if (!picture_.Usable(m, now)) continue;
-    ++up;
-    dear += m.spot ? 0 : 1;
-    draining += m.draining ? 1 : 0;
-    cpus += m.cpus;
-    used += m.used_cpus;
+  for (const auto* machines : {&picture_.machines, &picture_.lent}) {
+    for (const auto& [id, m] : *machines) {
+      if (!picture_.Usable(m, now)) continue;
+      ++up;
+      dear += m.spot ? 0 : 1;
+      draining += m.draining ? 1 : 0;
+      cpus += m.cpus;
+      used += m.used_cpus;
+    }
   }
   std::map<std::string, std::pair<size_t, double>> waiting;
   for (const auto& [id, job] : picture_.jobs) {
--- a/src/place/dispatcher_fleet.cc
+++ b/src/place/dispatcher_fleet.cc
@@ -21,6 +21,11 @@
 
 }  // namespace
 
+double LeftToRun(const Slot& slot, double now) {
+  const double ran = slot.running_since > 0 ? now - slot.running_since : 0;
+  return std::max(slot.expected_s - ran, kLeastLeft * slot.expected_s);
+}
+
 // Frees draining machines sooner: tasks that can save go on elsewhere when there is room for all
 // that the machine runs, and when they have longer to run than the move costs.
 void Dispatcher::MoveOff(double now) {
@@ -105,7 +110,7 @@
     }
   }
   std::set<std::string> doomed;
-  const std::vector<std::string> late = takeover_.Stragglers(picture_.machines, now);
+  const std::vector<std::string> late = takeover_.Stragglers(picture_.machines, search_, now);
   for (auto& [id, m] : picture_.machines) {
     if (m.deleting) continue;
     if (m.address.empty()) {  // inherited and not heard of since
@@ -122,8 +127,7 @@
     u.used_cpus = m.used_cpus;
     for (const auto& [key, slot] : m.slots) {
       if (slot.exited()) continue;
-      const double ran = slot.running_since > 0 ? now - slot.running_since : 0;
-      u.work_s += slot.cpus * std::max(slot.expected_s - ran, kLeastLeft * slot.expected_s);
+      u.work_s += slot.cpus * LeftToRun(slot, now);
     }
     u.idle = std::all_of(m.slots.begin(), m.slots.end(),
                          [&](const auto& s) {
@@ -146,15 +150,52 @@
     }
     in.units.push_back(std::move(u));
   }
+  for (auto& [id, m] : picture_.lent) {
+    if (m.deleting || m.type.empty()) continue;
+    fleet::Unit u;
+    u.id = id;
+    u.type = m.type;
+    u.zone = m.zone;
+    u.spot = m.spot;
+    u.up = true;
+    u.usable = picture_.Usable(m, now);
+    u.used_cpus = m.used_cpus;
+    u.work_s = m.news.work_s;
+    // What was given and is not in its holder's word yet may be on its way there.
+    u.idle = m.news.idle && m.used_cpus <= m.news.cpus && leased_.ReadyFor(m.block) == m.lease;
+    u.idle_s = u.idle ? m.news.idle_s + (now - m.news_at) : 0;
+    u.draining = m.draining;
+    u.needed = m.news.needed;
+    if (m.news.silent && !u.usable) {
+      u.usable = u.idle = false;
+      if (m.unlisted || m.failed) doomed.insert(id);
+    }
+    in.units.push_back(std::move(u));
+  }
   std::vector<std::string> hopeless;
   hires_.Plan(now, picture_.types, in.units, hopeless);
   in.burst_cpus = hires_.Burst(now, picture_.types);
   fleet::Plan plan = MakePlan(in, tuning_.fleet);
   wants_plan_ = false;
-  for (auto& [id, m] : picture_.machines) m.draining = m.resting = false;
-  for (const auto& id : plan.drain) picture_.machines.at(id).draining = true;
-  for (const auto& id : plan.rest)
-    picture_.machines.at(id).draining = picture_.machines.at(id).resting = true;
+  std::map<std::string, uint64_t> before;  // as their holders know
+  for (auto& [id, m] : picture_.lent) before[id] = (m.draining ? 1U : 0U) + (m.resting ? 1U : 0U);
+  for (auto* machines : {&picture_.machines, &picture_.lent}) {
+    for (auto& [id, m] : *machines) m.draining = m.resting = false;
+  }
+  for (const auto& id : plan.drain) FindAny(id)->draining = true;
+  for (const auto& id : plan.rest) {
+    Machine* m = FindAny(id);
+    m->draining = m->resting = true;
+  }
+  for (const auto& id : plan.give_back) {
+    if (Machine* m = FindAny(id); m != nullptr && m->lease != 0) m->draining = true;
+  }
+  for (auto& [id, m] : picture_.lent) {
+    const uint64_t wish = (m.draining ? 1U : 0U) + (m.resting ? 1U : 0U);
+    if (wish == before[id]) continue;
+    leased_.ToHolder(m.lease,
+                     {.kind = wire::BlockItem::Kind::kDraining, .name = id, .count = wish});
+  }
   MoveOff(now);
   // A machine that the cloud no longer runs is deleted at once, which rules its tasks out. One
   // that is silent but may be running is only worth deleting while few are: when many are silent,
@@ -165,7 +206,7 @@
                    now - takeover_.begun() > settings_.lease_s &&
                    now - takeover_.listening_since() > derived_.silent_s;
   for (const auto& id : doomed) {
-    const Machine& m = picture_.machines[id];
+    const Machine& m = *FindAny(id);
     const double silence = now - std::max(m.last_heard, m.last_answered);
     if (m.unlisted || m.failed || few || silence > 4 * settings_.lease_s) {
       plan.give_back.push_back(id);
--- a/src/place/dispatcher_reports.cc
+++ b/src/place/dispatcher_reports.cc
@@ -47,7 +47,7 @@
     m.type = r.type;
     m.zone = r.zone;
     m.spot = r.spot;
-    m.block = placer_.blocks().Of(m.id, m.zone);
+    m.block = placer_.BlockOf(m);
     m.first_heard = m.idle_since = now;
     picture_.types.Fit(m);
     hires_.Up(r.machine);
@@ -59,6 +59,13 @@
 
 ReportAnswer Dispatcher::OnReport(const wire::Report& r, double now) {
   if (hires_.dead(r.machine)) return {};
+  // Another controller's, or not to be spoken to before its token is raised.
+  if (picture_.lent.contains(r.machine)) return {};
+  if (leased_.holds() && !Commands(r.machine)) return {};
+  if (const auto it = picture_.machines.find(r.machine);
+      it != picture_.machines.end() && it->second.retoken) {
+    return {};
+  }
   Machine& m = MachineFor(r, now);
   // A higher token than ours is a later leader's. A late report's answer could never be used.
   if (r.token > m.token || !m.Newer(r.session, r.seq)) return {};
@@ -105,7 +112,8 @@
 
 std::vector<DirectOrder> Dispatcher::TakeDirect(double now, size_t most) {
   std::vector<DirectOrder> out;
-  if (!settled() || takeover_.searching(now)) takeover_.Ask(picture_.machines, now, most, out);
+  if (!settled() || takeover_.searching(now) || !search_.empty() || leased_.holds())
+    takeover_.Ask(picture_.machines, now, most, out);
   for (auto& [id, m] : picture_.machines) {
     if (out.size() >= most) break;
     if (!m.todo || m.calling || !m.confirmed || m.lost || m.deleting) continue;
@@ -272,6 +280,7 @@
     slot.orphan = true;
     if (job != nullptr && t.why == wire::Why::kDone) {
       slot.orphan = false;
+      if (Seeks(t.task)) picture_.ComeBack(t.task, picture_.away.Under(t.task));
       if (job->tasks[t.task.index].phase == Phase::kPlaced) {
         spdlog::debug("place: {} is done on {} by an earlier attempt", wire::TaskName(t.task),
                       m.id);
@@ -294,6 +303,15 @@
     }
   }
   if (job != nullptr) {
+    if (Seeks(t.task)) {
+      picture_.ComeBack(t.task, picture_.away.Under(t.task));
+    } else if (leased_.holds() && job->tasks[t.task.index].phase == Phase::kAway) {
+      // It is on a machine of this block, so no other controller can have it.
+      job->tasks[t.task.index].phase = Phase::kPending;
+      job->pending.insert(t.task.index);
+      leased_.ToLeader(
+          {.kind = wire::BlockItem::Kind::kClaim, .name = t.task.job, .tasks = {t.task.index}});
+    }
     slot.cpus = job->spec.cpus;
     slot.gpus = job->spec.gpus;
     slot.memory_gb = job->spec.memory_gb;
@@ -319,7 +337,7 @@
     if (slot.running_since > 0 && !slot.adopted) {
       Judge(m, *job, health_.Timed(m, *job, now - slot.running_since), now);
     }
-    if (health_.Succeeded(m, *job)) records_.NoDoubt(job->spec.id);
+    if (health_.Succeeded(m, *job) && !leased_.holds()) records_.NoDoubt(job->spec.id);
   } else {
     picture_.Vacate(m, slot, task);
     if (job != nullptr && slot.why == wire::Why::kError) {
@@ -340,7 +358,10 @@
 }
 
 void Dispatcher::TaskDone(Job& job, uint32_t index) {
-  if (job.MarkDone(index)) records_.TaskDone(job, index);
+  if (!job.MarkDone(index)) return;
+  if (!leased_.holds()) return records_.TaskDone(job, index);
+  // The leader writes what is done.
+  leased_.ToLeader({.kind = wire::BlockItem::Kind::kDone, .name = job.spec.id, .tasks = {index}});
 }
 
 // What people and successors are told of a verdict.
@@ -362,6 +383,12 @@
       activity_.Trouble(now, job.spec.id + " fails on every machine");
       [[fallthrough]];
     case Health::Verdict::kJobStillDoubted:
+      if (leased_.holds()) {
+        leased_.ToLeader({.kind = wire::BlockItem::Kind::kDoubt,
+                          .name = job.spec.id,
+                          .count = std::max<uint32_t>(1, job.retries)});
+        return;
+      }
       records_.Doubt(job.spec.id, job.retries);
       return;
   }
--- a/src/place/hires.cc
+++ b/src/place/hires.cc
@@ -12,6 +12,13 @@
 constexpr double kLatelyReports = 10;  // reports, over which the largest urgent job counts
 constexpr double kUpPatience = 4;      // leases, for a machine that is up to find us
 
+picture::Machine* Find(const Hires::Fleet& fleet, const std::string& id) {
+  for (picture::Machines* machines : fleet) {
+    if (const auto it = machines->find(id); it != machines->end()) return &it->second;
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 Hires::Hires(const config::Settings& settings, const config::Derived& derived)
@@ -21,10 +28,11 @@
       silent_s_(derived.silent_s) {}
 
 void Hires::Rented(const std::vector<std::string>& ids, const fleet::Wish& offer,
-                   const picture::Machines& machines, double now) {
+                   const Fleet& fleet, double now) {
   for (const auto& id : ids) {
     if (dead_.contains(id)) continue;
-    if (auto m = machines.find(id); m != machines.end() && !m->second.address.empty()) continue;
+    const picture::Machine* m = Find(fleet, id);
+    if (m != nullptr && !m->address.empty()) continue;
     booting_[id] = {{offer.type, offer.zone, offer.spot, 1}, now, false};
   }
 }
@@ -42,17 +50,17 @@
   }
 }
 
-void Hires::Listed(const std::vector<wire::ListedMachine>& listed, picture::Machines& machines,
-                   double asked, double now) {
+void Hires::Listed(const std::vector<wire::ListedMachine>& listed, const Fleet& fleet, double asked,
+                   double now) {
   std::set<std::string> names;
   for (const auto& l : listed) {
     names.insert(l.id);
     if (dead_.contains(l.id)) continue;
     const bool failed = l.state == wire::MachineState::kFailed;
-    if (auto m = machines.find(l.id); m != machines.end()) {
-      m->second.failed = failed;
-      m->second.unlisted = false;
-      if (!m->second.address.empty() || m->second.inherited) continue;
+    if (picture::Machine* m = Find(fleet, l.id)) {
+      m->failed = failed;
+      m->unlisted = false;
+      if (!m->address.empty() || m->inherited || m->lease != 0) continue;
     }
     // Not heard of yet: booting, rented by an earlier leader, or never coming up.
     auto [it, added] = booting_.try_emplace(l.id);
@@ -71,11 +79,13 @@
   // The list lags, but keeps what it has shown until it is gone: a silent machine that it no
   // longer shows has been taken.
   const double settled_by = asked - 2 * list_lag_s_ - report_s_;
-  for (auto& [id, m] : machines) {
-    const double known = m.address.empty() ? m.last_answered : m.first_heard;
-    const double heard = std::max(m.last_heard, known);
-    if (!names.contains(id) && known < settled_by && heard < asked - 2 * report_s_) {
-      m.unlisted = true;
+  for (picture::Machines* machines : fleet) {
+    for (auto& [id, m] : *machines) {
+      const double known = m.address.empty() ? m.last_answered : m.first_heard;
+      const double heard = std::max(m.last_heard, known);
+      if (!names.contains(id) && known < settled_by && heard < asked - 2 * report_s_) {
+        m.unlisted = true;
+      }
     }
   }
 }
--- a/src/place/placer.cc
+++ b/src/place/placer.cc
@@ -26,18 +26,21 @@
 constexpr double kAged = 0.4;        // of its aim, after which waiting low work counts as normal
 constexpr double kFetchWait = 2;     // of a job's age, that a fetch may take: a young one waits for
                                      // room where its image is
+constexpr double kUrgentAhead = 2;   // times as much as other work
+constexpr double kLeastCpus = 0.1;   // that a task counts as
 constexpr double kPatience = 3;  // how long a job's turn may wait to save a fetch, in such fetches
 constexpr double kYield = 45;    // how far a job yields, in multiples of the time it takes the pool
 
 }  // namespace
 
 Placer::Placer(const config::Settings& settings, picture::Picture& picture, const Aims& aims,
-               const Takeover& takeover, Records& records, uint64_t token)
+               const Takeover& takeover, Records& records, Leased& leased, uint64_t token)
     : settings_(settings),
       picture_(picture),
       aims_(aims),
       takeover_(takeover),
       records_(records),
+      leased_(leased),
       token_(token),
       blocks_(settings) {}
 
@@ -81,6 +84,7 @@
   };
   double pool_cpus = 0;
   for (const auto& [id, m] : picture_.machines) pool_cpus += picture_.Usable(m, now) ? m.cpus : 0;
+  for (const auto& [id, m] : picture_.lent) pool_cpus += picture_.Usable(m, now) ? m.cpus : 0;
   std::vector<Ranked> ranked;
   for (auto& [id, job] : picture_.jobs) {
     if (job->pending.empty() || now < job->not_before || !MayStart(*job)) continue;
@@ -157,9 +161,20 @@
   return room;
 }
 
+bool Placer::Givable(const Job& job) const {
+  const wire::JobSpec& s = job.spec;
+  return s.kind == wire::Kind::kArray && !s.one_zone && !s.spread && !job.doubted;
+}
+
 bool Placer::Put(Job& job, Machine& m, double now) {
   const wire::JobSpec& spec = job.spec;
   const uint32_t index = *job.pending.begin();
+  if (m.lease != 0) {
+    leased_.Give(m, job, index);
+    m.images.Use(spec.image, spec.image_gb, m.cache_gb);
+    picture_.SendAway(job, index, m.lease);
+    return true;
+  }
   jobs::Task& t = job.tasks[index];
   if (t.attempts == kMaxAttempts) {
     job.not_before = 1e18;  // cannot happen within a leadership's life; never reuse an attempt
@@ -187,12 +202,22 @@
   std::vector<Machine*> pool;
   for (auto& [id, m] : picture_.machines) {
     if (!picture_.Usable(m, now)) continue;
-    pool.push_back(&m);
-    // A machine must be in the durable record before anything is started on it.
+    // A machine must be in the durable record before anything is started on it. A new one goes to
+    // its block at once.
     if (!m.in_record) {
+      const uint64_t lease = leased_.ReadyFor(blocks_.Of(m.id, m.zone));
+      if (lease != 0 && now >= m.kept_until) {
+        m.leaving = lease;
+        records_.AssignMachine(m, m.address, lease);
+        continue;
+      }
       m.in_record = true;
       records_.AddMachine(id, m.address);
     }
+    pool.push_back(&m);
+  }
+  for (auto& [id, m] : picture_.lent) {
+    if (picture_.Usable(m, now)) pool.push_back(&m);
   }
   if (pool.empty()) return;
   order_ = Order(now);
@@ -218,12 +243,68 @@
     aimed_waits = aimed_waits || job->keeps_aim;
     if (plain) full.push_back(&s);
   }
+  if (leased_.leads()) PlaceAhead(now);
+}
+
+void Placer::PlaceAhead(double now) {
+  struct Taker {
+    uint64_t lease;
+    size_t block;
+    double room;
+    double urgent;  // room for urgent work
+  };
+  std::vector<Taker> takers;
+  for (const auto& [lease, l] : leased_.leases()) {
+    if (!l.ready || l.cpus <= 0) continue;
+    takers.push_back({lease, l.block, leased_.AheadRoom(l, ahead_),
+                      leased_.AheadRoom(l, kUrgentAhead * ahead_)});
+  }
+  if (takers.empty()) return;
+  const auto any_machine = [&](const Job& job, uint64_t lease) {
+    const wire::JobSpec& s = job.spec;
+    return std::any_of(picture_.lent.begin(), picture_.lent.end(), [&](const auto& it) {
+      const Machine& m = it.second;
+      return m.lease == lease && picture_.Usable(m, now) && Allowed(job, m, now) &&
+             s.cpus <= m.cpus && s.gpus <= m.gpus && s.memory_gb <= m.memory_gb;
+    });
+  };
+  for (Job* job : order_) {
+    if (job->pending.empty() || !Givable(*job)) continue;
+    // For idle times only: there is none while work waits ahead.
+    if (job->idle_only) continue;
+    const bool urgent = job->spec.rank >= wire::Rank::kHigh;
+    size_t left = MayPlace(*job);
+    if (left == 0) continue;
+    const auto room = [&](const Taker& t) { return urgent ? t.urgent : t.room; };
+    std::sort(takers.begin(), takers.end(),
+              [&](const Taker& a, const Taker& b) { return room(a) > room(b); });
+    if (room(takers.front()) <= 0) {
+      if (!urgent) break;
+      continue;
+    }
+    bool cleared = false;
+    for (Taker& t : takers) {
+      if (left == 0 || room(t) <= 0) break;
+      if (!any_machine(*job, t.lease)) continue;
+      if (!cleared && !Cleared(*job)) break;
+      cleared = true;
+      const double cpus = std::max(job->spec.cpus, kLeastCpus);
+      for (; left > 0 && room(t) > 0; --left) {
+        const uint32_t index = *job->pending.begin();
+        leased_.GiveAhead(t.lease, *job, index);
+        picture_.SendAway(*job, index, t.lease);
+        t.room -= cpus;
+        t.urgent -= cpus;
+      }
+    }
+  }
 }
 
 // The block with the most room for it.
 size_t Placer::ChooseBlock(const Job& job, const std::vector<Machine*>& pool, double now) const {
   std::vector<double> room(blocks_.size());
   for (const Machine* m : pool) {
+    if (m->lease != 0 && !Givable(job)) continue;
     if (!m->draining && Allowed(job, *m, now)) room[m->block] += m->cpus - m->used_cpus;
   }
   return static_cast<size_t>(std::max_element(room.begin(), room.end()) - room.begin());
@@ -247,6 +328,7 @@
     if (only_zone.empty()) {  // the zone with the most room
       std::map<std::string, double> free;
       for (const Machine* m : pool) {
+        if (m->lease != 0) continue;  // of no use to it
         if ((fits(*m, false) || (urgent && fits(*m, true))) && Allowed(job, *m, now)) {
           free[m->zone] += m->cpus - m->used_cpus;
         }
@@ -268,6 +350,7 @@
   // In the job's block first; what finds no room there overflows to any machine. The cap and the
   // shares are the block's.
   if (!job.block) job.block = ChooseBlock(job, pool, now);
+  const bool givable = Givable(job);
   struct Scope {
     bool own;
     bool draining;
@@ -280,6 +363,7 @@
     size_t scope_size = 0;
     for (size_t i = 0; i < pool.size(); ++i) {
       const Machine& m = *pool[i];
+      if (m.lease != 0 && !givable) continue;
       // What has room in its own block was taken before, unless it rests.
       if (!draining && own != (m.block == *job.block)) continue;
       scope_gb += m.images.bytes_gb();
--- a/src/place/records.cc
+++ b/src/place/records.cc
@@ -1,6 +1,7 @@
 #include "mosspath/place/records.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace mosspath::place {
 
@@ -21,6 +22,23 @@
 
 }  // namespace
 
+std::string MachineEntry(const std::string& address, uint64_t lease) {
+  return lease == 0 ? address : address + "/" + std::to_string(lease);
+}
+
+std::pair<std::string, uint64_t> ReadMachineEntry(const wire::Json& entry) {
+  if (!entry.is_string()) return {};
+  const auto& text = entry.get_ref<const std::string&>();
+  // Earlier versions recorded the zone here.
+  if (text.find(':') == std::string::npos) return {};
+  const size_t slash = text.find('/');
+  uint64_t lease = 0;
+  if (slash != std::string::npos) {
+    std::from_chars(text.data() + slash + 1, text.data() + text.size(), lease);
+  }
+  return {text.substr(0, slash), lease};
+}
+
 Records::Records(const config::Settings& settings)
     : pack_bytes_(PackBytes(settings)),
       progress_(pack_bytes_),
@@ -91,6 +109,13 @@
   if (!machines_.Has(id)) machines_.Set(id, address);
 }
 
+void Records::AssignMachine(picture::Machine& m, const std::string& address, uint64_t lease) {
+  machines_.Replace(m.id, MachineEntry(address, lease));
+  m.in_record = true;
+  m.recorded = false;
+  m.entry_no = ++entries_;
+}
+
 void Records::DropMachine(const std::string& id) { machines_.Erase(id, /*lazily=*/false); }
 
 Records::Batch Records::Take(size_t most, size_t bytes, const picture::Picture& picture) {
@@ -110,7 +135,7 @@
   }
   for (const auto& [id, m] : picture.machines) {
     if (m.in_record && !m.recorded && packs.contains(machines_.PackOf(id))) {
-      writing_machines_.push_back(id);
+      writing_machines_.emplace_back(id, m.entry_no);
     }
   }
   // Then marks, which starts wait for, but in no more than half of what is left.
@@ -152,7 +177,7 @@
   return writing_;
 }
 
-void Records::Written(uint64_t revision, picture::Picture& picture) {
+std::vector<std::string> Records::Written(uint64_t revision, picture::Picture& picture) {
   newest_revision_ = std::max(newest_revision_, revision);
   for (const auto& w : writing_.machines) machines_.Seen(w.pack, revision);
   for (const auto& w : writing_.progress) SeenProgress(w.pack, revision);
@@ -162,17 +187,23 @@
     job->tasks[index].durable = true;
     job->unsaved.erase(index);
   }
-  for (const auto& id : writing_machines_) {
-    // Gone and back in the meantime, it is in the record that was written all the same.
-    if (auto it = picture.machines.find(id); it != picture.machines.end() && it->second.in_record) {
-      it->second.recorded = it->second.todo = true;
+  std::vector<std::string> recorded;
+  for (const auto& [id, entry_no] : writing_machines_) {
+    // Gone and back in the meantime, it is in the record that was written all the same; but not
+    // what its entry has been changed to since.
+    const auto it = picture.machines.find(id);
+    if (it == picture.machines.end() || !it->second.in_record || it->second.entry_no != entry_no) {
+      continue;
     }
+    it->second.recorded = it->second.todo = true;
+    recorded.push_back(id);
   }
   for (const auto& id : writing_marks_) {
     if (Job* job = picture.Find(id)) job->mark = Job::Mark::kDurable;
   }
   picture.changed = picture.changed || !writing_machines_.empty() || !writing_marks_.empty();
   Clear();
+  return recorded;
 }
 
 void Records::Failed() {
--- a/src/place/takeover.cc
+++ b/src/place/takeover.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace mosspath::place {
 
@@ -24,8 +25,10 @@
       find_s_(derived.find_s),
       listening_since_(now) {}
 
-void Takeover::Inherit(Machine& m) {
+void Takeover::Inherit(Machine& m, bool counted) {
   m.inherited = true;
+  m.counted = counted;
+  if (!counted) return;
   m.last_answered = begun_;
   ++inherited_;
   ++total_;
@@ -34,7 +37,8 @@
 bool Takeover::RuleOut(Machine& m) {
   if (!m.inherited) return false;
   m.inherited = false;
-  if (--inherited_ > 0) return false;
+  if (!std::exchange(m.counted, false)) return false;
+  if (--inherited_ > 0 || !settled()) return false;
   spdlog::info("takeover: settled, every inherited machine is known or ruled out");
   return true;
 }
@@ -43,7 +47,7 @@
                    std::vector<DirectOrder>& out) {
   for (auto& [id, m] : machines) {
     if (asking_ >= kMostAsked || out.size() >= most) return;
-    if (m.calling || m.deleting || m.lost || m.recorded_address.empty()) continue;
+    if (m.calling || m.deleting || m.lost || m.retoken || m.recorded_address.empty()) continue;
     // Again until its worker has found us, so that what ends there is known and refilled meanwhile.
     const bool due = m.confirmed ? m.last_answered <= begun_ && now - m.last_heard > report_s_
                                  : m.inherited && now >= m.ask_after;
@@ -75,17 +79,16 @@
 // A successor starts nothing of earlier jobs before it has heard from every machine it took over.
 // At any time some of many machines have just been taken by the cloud, so once nearly all have been
 // heard the others are deleted: that is answered at once, and rules them out.
-std::vector<std::string> Takeover::Stragglers(const picture::Machines& machines, double now) const {
+std::vector<std::string> Takeover::Stragglers(const picture::Machines& machines,
+                                              const Search& search, double now) const {
   std::vector<std::string> late;
-  if (static_cast<double>(inherited_) > std::max(1.0, kStragglers * static_cast<double>(total_))) {
-    return late;
-  }
+  const bool few =
+      static_cast<double>(inherited_) <= std::max(1.0, kStragglers * static_cast<double>(total_));
   const bool found = now - listening_since_ > find_s_;
   for (const auto& [id, m] : machines) {
-    if (!m.deleting && m.inherited && now - m.last_heard > find_s_ &&
-        (found || m.asked_in_vain >= kAskedInVain)) {
-      late.push_back(id);
-    }
+    if (m.deleting || !m.inherited || now - m.last_heard <= find_s_) continue;
+    const bool nearly = m.counted ? few : search.NearlyOver(id, kStragglers);
+    if (nearly && ((m.counted && found) || m.asked_in_vain >= kAskedInVain)) late.push_back(id);
   }
   return late;
 }
@@ -98,6 +101,7 @@
   const bool looked = now - listening_since_ > search_s_;
   for (const auto& [id, m] : machines) {
     if (m.lost || m.deleting || m.unlisted || m.failed) continue;
+    if (m.inherited && !m.counted) continue;  // a holder that is gone couldn't reach it either
     const bool reported = m.last_answered > begun_;
     if (!reported && (m.confirmed || !m.inherited)) continue;
     if (!reported && !looked && m.asked_in_vain < kAskedInVain) continue;
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -293,7 +293,7 @@
                 [self = shared_from_this()](state::TxnResult r) {
                   if (self->stopped_) return;
                   if (r.outcome == state::Outcome::kDone) {
-                    self->dispatcher_.RecordsWritten(r.revision);
+                    self->dispatcher_.RecordsWritten(r.revision, net::Now());
                     return self->Kick();
                   }
                   // On a conflict an earlier write of ours was done without our knowing: the mirror
--- a/src/state/packed_map.cc
+++ b/src/state/packed_map.cc
@@ -44,6 +44,16 @@
   dirty_.insert(pack);
 }
 
+void PackedMap::Replace(const std::string& item, wire::Json value) {
+  const auto it = where_.find(item);
+  if (it == where_.end()) return Set(item, std::move(value));
+  Pack& p = packs_[it->second];
+  wire::Json& old = p.items[item];
+  p.bytes += Cost(item, value) - Cost(item, old);
+  old = std::move(value);
+  dirty_.insert(it->second);
+}
+
 void PackedMap::Erase(const std::string& item, bool lazily) {
   auto it = where_.find(item);
   if (it == where_.end()) return;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -223,7 +223,7 @@
 
   // All records that want writing are durable, under a revision below any that matters.
   void Flush() {
-    while (!d_.TakeRecords(100, 48u << 10).empty()) d_.RecordsWritten(1);
+    while (!d_.TakeRecords(100, 48u << 10).empty()) d_.RecordsWritten(1, 0);
   }
 
   static std::vector<wire::Command> Only(const ReportAnswer& a, wire::Op op) {
@@ -407,7 +407,7 @@
       ++writes;
     }
     EXPECT_LE(bytes, size_t{48} << 10);
-    d_.RecordsWritten(1);
+    d_.RecordsWritten(1, 0);
   }
   EXPECT_LE(writes, 1 + machines / 170);  // a machine's entry takes some thirty bytes
   uint64_t looked = d_.looked_at();
@@ -628,7 +628,7 @@
   d_.RecordsFailed();
   EXPECT_TRUE(Only(Report("vm-1", 2), wire::Op::kStart).empty());
   records = d_.TakeRecords(100, 48u << 10);
-  d_.RecordsWritten(20);
+  d_.RecordsWritten(20, 0);
   d_.Place(3);
   EXPECT_EQ(Only(Report("vm-1", 3), wire::Op::kStart).size(), 2u);
   // Its view of who marks is empty while it is loaded anew; it goes on marking.
@@ -652,7 +652,7 @@
   next.OnReport(r, 101);
   next.Place(101);
   next.TakeRecords(100, 48u << 10);
-  next.RecordsWritten(31);
+  next.RecordsWritten(31, 0);
   next.Place(102);
   EXPECT_FALSE(next.settled());
   EXPECT_EQ(next.Counts("req-4").running, 1u);
@@ -691,7 +691,7 @@
   EXPECT_EQ(d_.Counts("req-1").running, 1u);  // may still be executed
   d_.Tick(2.6);                               // wants a revision, and a write for one
   ASSERT_FALSE(d_.TakeRecords(100, 48u << 10).empty());
-  d_.RecordsWritten(30);
+  d_.RecordsWritten(30, 0);
   d_.Tick(3);
   EXPECT_EQ(Report("vm-1", 3.5).token, 30u);
   EXPECT_EQ(d_.Counts("req-1").running, 1u);
--- a/tests/standins/controller.cc
+++ b/tests/standins/controller.cc
@@ -341,7 +341,7 @@
     if (*answered || life != life_ || token != token_ || !dispatcher_) return;
     *answered = true;
     if (revision != 0) {
-      dispatcher_->RecordsWritten(revision);
+      dispatcher_->RecordsWritten(revision, Now());
     } else {
       dispatcher_->RecordsFailed();
     }
