Blocks: machines that change hands keep their token; searches that can't end do

Cause: a machine first heard by its new controller got the lease's number as token, below what its worker had seen, so it was never commanded; a machine given back before the leader knew it was handed over was sought for ever.

--- a/include/mosspath/block/desk.h
+++ b/include/mosspath/block/desk.h
@@ -64,7 +64,8 @@
     uint64_t lease = 0;
     Channel channel;
     bool synced = false;
-    double heard = -1e18;  // a frame of its holder; or since when one is waited for
+    double heard = -1e18;   // a frame of its holder; or since when one is waited for
+    double opened = -1e18;  // since when its holder should tell all that it has
     double not_before = -1e18;
     bool writing = false;
     bool lost_frame = false;
--- a/src/block/desk.cc
+++ b/src/block/desk.cc
@@ -64,7 +64,7 @@
   b->lease = lease;
   b->channel = Channel();
   b->synced = false;
-  b->heard = now;
+  b->heard = b->opened = now;
   b->writing = false;
   if (lease == 0) return;
   spdlog::info("blocks: {} holds its block under lease {}", node, lease);
@@ -75,8 +75,11 @@
   std::vector<Change> changes;
   for (auto& [node, b] : blocks_) {
     if (b.lease != 0) {
+      if (b.opened < -1e17) b.opened = now;
       if (b.heard < -1e17) b.heard = now;  // an earlier leader's: its holder has yet to find us
-      const bool silent = now - b.heard > kPatienceGrants * derived_.grant_s;
+      // Nothing of earlier jobs starts before it has told what it has.
+      const bool silent = now - b.heard > kPatienceGrants * derived_.grant_s ||
+                          (!b.synced && now - b.opened > settings_.lease_s);
       const bool ready = b.synced && now - b.heard < kReadyGrants * derived_.grant_s;
       dispatcher_.LeaseReady(b.lease, ready && allowed_);
       if ((!silent && allowed_) || b.writing) continue;
--- a/src/block/holder.cc
+++ b/src/block/holder.cc
@@ -88,12 +88,15 @@
 bool Holder::OnFrame(const wire::BlockFrame& frame, double now) {
   if (!frame.from_leader || frame.lease != lease_ || frame.leader != leader_) return false;
   heard_leader_ = now;
-  for (const auto& item : channel_.Take(frame)) {
+  for (auto& item : channel_.Take(frame)) {
     if (item.kind == Kind::kGive) {
       Know(item.name);
       applied_ = std::max(applied_, item.count);
     } else if (item.kind == Kind::kHanded) {
       Know(item.job);
+      // Known and given back before the leader had heard that the record was written: sought for
+      // ever, it kept the next leader from settling.
+      item.count = given_back_.contains(item.name) ? 1 : 0;
     }
     dispatcher_.FromLeader(item, now);
   }
--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -189,7 +189,7 @@
     return;
   }
   auto it = picture_.machines.find(id);
-  if (it == picture_.machines.end()) return;
+  if (it == picture_.machines.end()) return KnownOrGone(id);
   RuleOut(it->second);
   picture_.AllGone(it->second, now);
   picture_.machines.erase(it);
--- a/src/place/dispatcher_blocks.cc
+++ b/src/place/dispatcher_blocks.cc
@@ -479,8 +479,8 @@
       if (job == nullptr) return;
       const auto m = picture_.machines.find(item.name);
       // What it has was seen already, or it is gone.
-      const bool known =
-          m == picture_.machines.end() ? hires_.dead(item.name) : !m->second.inherited;
+      const bool known = item.count != 0 || (m == picture_.machines.end() ? hires_.dead(item.name)
+                                                                          : !m->second.inherited);
       const uint64_t key = leased_.NewSearch();
       for (const uint32_t index : item.tasks) {
         if (index >= job->spec.tasks || job->tasks[index].phase != Phase::kAway) continue;
--- a/src/place/dispatcher_reports.cc
+++ b/src/place/dispatcher_reports.cc
@@ -42,8 +42,9 @@
 Machine& Dispatcher::MachineFor(const wire::Report& r, double now) {
   Machine& m = picture_.machines[r.machine];
   if (m.address.empty()) {
+    // One that comes from another controller has a token already, higher than that one's.
+    if (m.id.empty()) m.token = token_;
     m.id = r.machine;
-    m.token = token_;
     m.type = r.type;
     m.zone = r.zone;
     m.spot = r.spot;
