--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -192,7 +192,7 @@
   void HandOverSome(double now);
   void Hand(picture::Machine& m, double now);
   void AskBackSome(double now);
-  picture::Machine& TakeIn(const picture::Machine& lent, double last_acted);
+  picture::Machine& TakeIn(const picture::Machine& lent, uint64_t past_lease, double last_acted);
   void KnownOrGone(const std::string& machine);
   void StopHeld(const std::string& job, uint32_t index);
   bool Readopt(jobs::Job& job, uint32_t index);
--- a/include/mosspath/place/records.h
+++ b/include/mosspath/place/records.h
@@ -50,6 +50,10 @@
   void AddMachine(const std::string& id, const std::string& address);
   // The machine is held under that lease from when this is durable; 0: by the leader.
   void AssignMachine(picture::Machine& m, const std::string& address, uint64_t lease);
+  // The same entry without the lease that is over; with the next write.
+  void ForgetLease(const std::string& id, const std::string& address) {
+    machines_.Replace(id, MachineEntry(address, 0));
+  }
   void DropMachine(const std::string& id);
   // The machine's pack is written again as it is: its revision serves as a token.
   void TouchMachine(const std::string& id) { machines_.Touch(id); }
--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -68,6 +68,7 @@
     takeover_.Inherit(m);
     // A holder of the past, whose lease we don't see, acts for as long as its view is fresh.
     if (lease != 0) m.last_answered += derived_.hold_s;
+    m.past_lease = lease;
   }
 }
 
@@ -82,6 +83,9 @@
   const bool inherited = m.inherited;
   takeover_.RuleOut(m);
   picture_.changed = picture_.changed || inherited;
+  if (const uint64_t past = std::exchange(m.past_lease, 0); past != 0 && m.in_record) {
+    records_.ForgetLease(m.id, m.recorded_address);
+  }
   KnownOrGone(m.id);
 }
 
--- a/src/place/dispatcher_blocks.cc
+++ b/src/place/dispatcher_blocks.cc
@@ -65,7 +65,12 @@
 
 // A machine that comes back to the leader. Its holder's token is as high as the version of the
 // record that assigned it, so nothing is said to it before a later write of that record.
-Machine& Dispatcher::TakeIn(const Machine& lent, double last_acted) {
+//
+// Until it is known, its entry goes on naming the lease that is over: a leader that begins
+// meanwhile must know that a holder of the past may still be answering it. Counted from the
+// election alone, such a machine was taken for lost while its holder, cut off with it, kept it
+// alive: a task ran twice.
+Machine& Dispatcher::TakeIn(const Machine& lent, uint64_t past_lease, double last_acted) {
   const std::string address = lent.recorded_address;
   Machine m;
   m.id = lent.id;
@@ -81,7 +86,8 @@
   m.images = lent.images;
   picture_.lent.erase(m.id);
   Machine& ours = picture_.machines[m.id] = std::move(m);
-  records_.AssignMachine(ours, address, 0);
+  ours.past_lease = past_lease;
+  records_.AssignMachine(ours, address, past_lease);
   return ours;
 }
 
@@ -97,7 +103,7 @@
     if (m.lease == lease) ids.push_back(id);
   }
   for (const auto& id : ids) {
-    Machine& m = TakeIn(Machine(picture_.lent.at(id)), last_acted);
+    Machine& m = TakeIn(Machine(picture_.lent.at(id)), lease, last_acted);
     takeover_.Inherit(m, awaited);
     m.last_answered = last_acted;
   }
@@ -109,7 +115,8 @@
     m.silenced = false;
     m.retoken = true;
     m.recorded_address = m.address;
-    records_.AssignMachine(m, m.address, 0);
+    m.past_lease = lease;
+    records_.AssignMachine(m, m.address, lease);
     if (m.lost) continue;
     takeover_.Inherit(m, /*counted=*/false);
     m.last_answered = std::max(m.last_answered, last_acted);
@@ -411,7 +418,7 @@
   const auto it = picture_.lent.find(item.name);
   if (it == picture_.lent.end() || it->second.lease != lease) return;
   const Machine lent = it->second;
-  Machine& m = TakeIn(lent, now);
+  Machine& m = TakeIn(lent, 0, now);
   // Known to be empty: nobody needs to ask it.
   m.address = lent.recorded_address;
   m.type = lent.type;
