--- a/src/place/dispatcher_blocks.cc
+++ b/src/place/dispatcher_blocks.cc
@@ -305,6 +305,8 @@
       l->cpus = 0;
       for (auto& [id, m] : picture_.lent) {
         if (m.lease != lease) continue;
+        // Told once, it goes on being idle: without this no machine of a block was ever returned.
+        if (m.news.idle) m.news.idle_s += now - m.news_at;
         m.news_at = now;
         if (!m.news.silent) m.last_heard = now;
         if (picture_.Usable(m, now)) l->cpus += m.cpus;
