--- /dev/null
+++ b/tests/block_test.cc
@@ -0,0 +1,474 @@
+// Between the leader and the holders of blocks: frames, the channel, searches, routes; and every
+// order of events of a small model of leasing and moving.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mosspath/block/channel.h"
+#include "mosspath/block/desk.h"
+#include "mosspath/block/holder.h"
+#include "mosspath/block/routes.h"
+#include "mosspath/wire/json.h"
+
+namespace mosspath::block {
+namespace {
+
+using Item = wire::BlockItem;
+using Kind = wire::BlockItem::Kind;
+
+Item Numbered(uint64_t n) { return {.kind = Kind::kLoad, .seconds = 1.5, .count = n}; }
+
+TEST(BlockFrame, RoundTripsAndRefusesWhatNobodyWrote) {
+  Item item{.kind = Kind::kMachine, .name = "vm-1", .job = "req-1", .tasks = {0, 1, 2, 7, 99'999}};
+  item.seconds = 12.25;
+  item.count = 1ULL << 40;
+  item.machine = Item::Machine{"10.0.0.1:9", "box", "east", true, true, false, true,
+                               false,        3.5,   8.25,   2,    0,    6.5};
+  const std::string text = wire::Encode(item);
+  EXPECT_EQ(wire::DecodeBlockItem(text), item);
+  wire::BlockFrame frame;
+  frame.node = "hut-1";
+  frame.leader = 7;
+  frame.lease = 12;
+  frame.from_leader = true;
+  frame.first = 3;
+  frame.items = {text, text};
+  const std::string whole = wire::Encode(frame);
+  EXPECT_EQ(wire::DecodeBlockFrame(whole).items, frame.items);
+  // Cut anywhere, or with any byte changed, it is refused or is another frame; it never crashes.
+  for (size_t n = 0; n < whole.size(); ++n) {
+    EXPECT_THROW(wire::DecodeBlockFrame(whole.substr(0, n)), wire::BadMessage);
+  }
+  for (size_t n = 0; n < text.size(); ++n) {
+    EXPECT_THROW(wire::DecodeBlockItem(text.substr(0, n)), wire::BadMessage);
+    std::string changed = text;
+    changed[n] = static_cast<char>(changed[n] ^ 0x55);
+    try {
+      wire::DecodeBlockItem(changed);
+    } catch (const wire::BadMessage&) {
+    }
+  }
+  EXPECT_THROW(wire::DecodeBlockFrame(std::string(wire::kMaxBlockFrame + 1, 'x')),
+               wire::BadMessage);
+}
+
+// However frames are lost, repeated and late, each item is taken in once, in order.
+TEST(BlockChannel, LosesAndRepeatsNothing) {
+  std::mt19937_64 random(5);
+  for (int round = 0; round < 200; ++round) {
+    Channel a;
+    Channel b;
+    std::deque<wire::BlockFrame> to_b;
+    std::deque<wire::BlockFrame> to_a;
+    uint64_t sent = 0;
+    std::vector<uint64_t> got;
+    const auto frame_of = [&](Channel& c) {
+      wire::BlockFrame f;
+      f.room = 1 + random() % 200;  // sometimes hardly any
+      c.Fill(f);
+      c.Sent(f);
+      return f;
+    };
+    for (int step = 0; step < 300; ++step) {
+      switch (random() % 6) {
+        case 0:
+          if (sent < 60) a.Send(Numbered(++sent));
+          break;
+        case 1:
+          to_b.push_back(frame_of(a));
+          break;
+        case 2:
+          to_a.push_back(frame_of(b));
+          break;
+        default: {
+          auto& queue = random() % 2 == 0 ? to_b : to_a;
+          if (queue.empty()) break;
+          const size_t which = random() % queue.size();
+          const wire::BlockFrame f = queue[which];
+          if (random() % 3 != 0) queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(which));
+          if (random() % 4 == 0) break;  // lost
+          for (const auto& item : (&queue == &to_b ? b : a).Take(f)) got.push_back(item.count);
+        }
+      }
+    }
+    for (int i = 0; i < 200; ++i) {
+      for (const auto& item : b.Take(frame_of(a))) got.push_back(item.count);
+      a.Take(frame_of(b));
+    }
+    ASSERT_EQ(got.size(), sent);
+    for (uint64_t i = 0; i < sent; ++i) ASSERT_EQ(got[i], i + 1);
+    EXPECT_TRUE(a.idle());
+    EXPECT_EQ(a.bytes(), 0u);
+  }
+  Channel c;
+  wire::BlockFrame bad;
+  bad.heard = 1;
+  EXPECT_THROW(c.Take(bad), wire::BadMessage);
+}
+
+TEST(BlockRoutes, FollowTheRecords) {
+  Routes r;
+  const wire::Json pack{{"vm-1", "a:1"}, {"vm-2", "b:1/7"}, {"vm-3", "c:1/8"}, {"vm-4", 5}};
+  r.PackTold(0, &pack, 20);
+  EXPECT_EQ(r.HolderOf("vm-2"), "");
+  r.LeaseTold("hut-1", 7);
+  EXPECT_EQ(r.HolderOf("vm-2"), "hut-1");
+  EXPECT_EQ(r.HolderOf("vm-1"), "");
+  EXPECT_EQ(r.HolderOf("vm-3"), "");  // of a lease that is over
+  EXPECT_EQ(r.Under(7).at("vm-2").address, "b:1");
+  EXPECT_EQ(r.Under(7).at("vm-2").version, 20u);
+  r.LeaseTold("hut-1", 8);
+  EXPECT_EQ(r.HolderOf("vm-2"), "");
+  EXPECT_EQ(r.HolderOf("vm-3"), "hut-1");
+  r.PackTold(0, nullptr, 30);
+  EXPECT_EQ(r.HolderOf("vm-3"), "");
+}
+
+TEST(BlockSearch, EndsWithTheLastMachine) {
+  place::Search s;
+  EXPECT_FALSE(s.Begin(1, {}));
+  EXPECT_TRUE(s.Begin(2, {"a", "b"}));
+  EXPECT_TRUE(s.Begin(3, {"b"}));
+  EXPECT_EQ(s.Known("x"), std::vector<uint64_t>{});
+  EXPECT_EQ(s.Known("a"), std::vector<uint64_t>{});
+  EXPECT_EQ(s.Known("b"), (std::vector<uint64_t>{2, 3}));
+  EXPECT_TRUE(s.empty());
+}
+
+// ---------------------------------------------------------------------------- the model
+
+// A leader, two holders, two machines, two tasks. The leader and the holders are the real decision
+// classes; the record, the frames and the workers are as small as can be. A walk is a list of
+// choices; every list up to a length is walked, each from the beginning.
+class Model {
+ public:
+  static constexpr int kChoices = 11;
+
+  Model()
+      : derived_(Settings("hut-0")),
+        leader_(Settings("hut-0"), derived_, kToken, 0),
+        desk_(Settings("hut-0"), derived_, leader_, kToken) {
+    wire::MachineType box;
+    box.name = "box";
+    box.cpus = 1;
+    box.memory_gb = 4;
+    box.cache_gb = 10;
+    box.fetch_gb_per_s = 1;
+    types_ = {box};
+    leader_.SetTypes(types_);
+    leader_.Apply({});
+    spec_.id = "req-1";
+    spec_.team = "tight";
+    spec_.tasks = 2;
+    spec_.cpus = 1;
+    spec_.image = "i";
+    spec_.estimate_s = 1000;
+    leader_.AddJob(spec_, kToken + 1, 0);
+    for (const char* id : {"vm-1", "vm-2"}) workers_[id].id = id;
+    for (int i = 0; i < 2; ++i) Report("vm-1", true), Report("vm-2", true);
+    Lease(1);
+    Lease(2);
+    // From here on holders are ready; nothing is recorded, handed over or placed yet.
+    Exchange(1, false);
+    Exchange(2, false);
+  }
+
+  // False: the choice changes nothing here.
+  bool Step(int choice) {
+    now_ += 0.3;
+    if (choice < kChoices) done_[choice] = std::min(done_[choice] + 1, 2);
+    switch (choice) {
+      case 0:  // the leader decides
+        leader_.Tick(now_);
+        desk_.Changes(now_);
+        return true;
+      case 1:  // its records are written, and it hears of it
+        return Write(true);
+      case 2:  // they are written, and it has not heard yet
+        return Write(false);
+      case 3:
+        return HearOfWrite();
+      case 4:
+      case 5:  // a holder sees the record and speaks with the leader
+        return Exchange(choice - 3, false);
+      case 6:  // its frame is taken and the answer is lost
+        return Exchange(1, true);
+      case 7:
+        return Report("vm-1", false);
+      case 8:
+        return Report("vm-2", false);
+      case 9:  // a holder's lease ends; it has not noticed
+        if (leases_[1] == 0) return false;
+        gone_.push_back(std::move(holders_[1]));
+        desk_.Leased("hut-1", leases_[1] = 0, now_);
+        return true;
+      case 10:  // and what it does yet
+        if (gone_.empty()) return false;
+        for (auto& h : gone_) {
+          h->Tick(now_);
+          Orders(h->dispatcher(),
+                 [&](auto& o, auto outcome, auto* r) { h->OnDirect(o, outcome, r, now_); });
+        }
+        return true;
+    }
+    return false;
+  }
+
+  // What must hold at every moment.
+  void Check(const std::vector<int>& walk) {
+    std::map<wire::TaskId, int> on;
+    for (auto& [id, w] : workers_) {
+      for (const auto& [key, attempt] : w.tasks) ++on[key];
+    }
+    const auto told = [&] {
+      std::string out;
+      for (int c : walk) out += std::to_string(c) + " ";
+      return out;
+    };
+    for (const auto& [task, n] : on) ASSERT_LE(n, 1) << "a task runs twice: " << told();
+    ASSERT_LE(on.size(), 2u) << told();
+    // A machine has one commander at most whose orders it would take.
+    for (const auto& [id, w] : workers_) {
+      int valid = 0;
+      const auto count = [&](const place::Dispatcher& d) {
+        const auto m = d.machines().find(id);
+        if (m == d.machines().end() || m->second.retoken) return;
+        valid += m->second.confirmed && m->second.token == w.token ? 1 : 0;
+      };
+      count(leader_);
+      for (int i : {1, 2}) {
+        if (holders_[i]) count(holders_[i]->dispatcher());
+      }
+      ASSERT_LE(valid, 1) << id << ": " << told();
+    }
+  }
+
+  // All that decides what comes next, as far as walks can tell it apart.
+  std::string Print() {
+    std::string out;
+    const auto put = [&](uint64_t v) { out += std::to_string(v) + ","; };
+    const auto of = [&](const place::Dispatcher& d) {
+      for (const auto& [id, m] : d.machines()) {
+        out += id + ":";
+        put(m.lease), put(m.leaving), put(m.confirmed), put(m.retoken), put(m.inherited);
+        put(m.silenced), put(m.recorded);
+        for (const auto& [key, slot] : m.slots) {
+          put(key.first.index), put(static_cast<uint64_t>(slot.state)), put(slot.stop);
+        }
+      }
+      for (const auto& [id, j] : d.jobs()) {
+        for (const auto& t : j->tasks) put(static_cast<uint64_t>(t.phase));
+      }
+      out += "|";
+    };
+    of(leader_);
+    for (int i : {1, 2}) {
+      put(leases_[i] != 0);
+      if (holders_[i]) of(holders_[i]->dispatcher());
+    }
+    for (const auto& h : gone_) of(h->dispatcher());
+    for (const auto& [id, w] : workers_) {
+      for (const auto& [key, attempt] : w.tasks) put(key.index);
+      out += ";";
+    }
+    put(writing_), put(unheard_ != 0);
+    // What the channels carry shows in how often each spoke.
+    for (const int choice : {0, 4, 5, 6}) put(static_cast<uint64_t>(done_[choice]));
+    return out;
+  }
+
+ private:
+  struct Worker {
+    std::string id;
+    uint64_t token = 0;
+    uint64_t seq = 0;
+    std::map<wire::TaskId, uint64_t> tasks;
+  };
+  static constexpr uint64_t kToken = 10;
+
+  static config::Settings Settings(const std::string& node) {
+    config::Settings s;
+    s.node = node;
+    s.zone = "z" + node.substr(4);
+    for (const char* peer : {"hut-0", "hut-1", "hut-2"}) {
+      if (node != peer) s.peers.push_back({peer, std::string("z") + (peer + 4), peer});
+    }
+    s.nodes = 3;
+    s.zones = {"z0", "z1", "z2"};
+    s.teams = {{"tight", 0, 2, 0, 0}};
+    s.report_s = 1;
+    s.lease_s = 100;  // nothing runs out during a walk
+    s.cancel_s = 250;
+    s.state_rps = 100;
+    s.state_write_rps = 25;
+    s.value_kb = 8;
+    s.txn_ops = 8;
+    s.cloud_rps = 5;
+    s.list_lag_s = 3;
+    return s;
+  }
+
+  void Lease(int i) {
+    const std::string node = "hut-" + std::to_string(i);
+    leases_[i] = ++revision_;
+    desk_.Leased(node, leases_[i], now_);
+    holders_[i] = std::make_unique<Holder>(Settings(node), derived_, static_cast<size_t>(i),
+                                           leases_[i], now_, [this](const std::string&) {
+                                             return Holder::Known{spec_, kToken + 1, 0};
+                                           });
+    holders_[i]->dispatcher().SetTypes(types_);
+    holders_[i]->LeaderIs(kToken);
+  }
+
+  wire::Report ReportOf(Worker& w) {
+    wire::Report r;
+    r.machine = w.id;
+    r.address = w.id + ":1";
+    r.type = "box";
+    r.zone = w.id == "vm-1" ? "z1" : "z2";
+    r.session = 1;
+    r.seq = ++w.seq;
+    r.token = w.token;
+    for (const auto& [task, attempt] : w.tasks) {
+      r.tasks.push_back({task, attempt, wire::TaskState::kRunning, wire::Why::kNone, false});
+    }
+    return r;
+  }
+
+  static void Execute(Worker& w, uint64_t token, const std::vector<wire::Command>& commands) {
+    w.token = token;
+    for (const auto& c : commands) {
+      if (c.op == wire::Op::kStart) w.tasks.emplace(c.task, c.attempt);
+      if (c.op == wire::Op::kStop) w.tasks.erase(c.task);
+    }
+  }
+
+  // The worker reports to whoever commands it, as the record says.
+  bool Report(const std::string& id, bool quietly) {
+    Worker& w = workers_[id];
+    place::ReportAnswer a;
+    bool held = false;
+    for (int i : {1, 2}) {
+      if (!holders_[i] || !holders_[i]->dispatcher().Commands(id)) continue;
+      a = holders_[i]->OnReport(ReportOf(w), now_);
+      held = true;
+    }
+    if (!held) a = leader_.OnReport(ReportOf(w), now_);
+    if (a.accepted && a.token >= w.token) Execute(w, a.token, a.commands);
+    return quietly || a.accepted;
+  }
+
+  template <typename F>
+  void Orders(place::Dispatcher& d, F done) {
+    for (auto& o : d.TakeDirect(now_)) {
+      Worker& w = workers_[o.machine];
+      if (o.token < w.token || o.session != 1) {
+        const wire::Report r = ReportOf(w);
+        done(o, place::DirectOutcome::kRefused, &r);
+        continue;
+      }
+      Execute(w, o.token, o.commands);
+      const wire::Report r = ReportOf(w);
+      done(o, place::DirectOutcome::kExecuted, &r);
+    }
+  }
+
+  bool Write(bool heard) {
+    if (writing_) return false;
+    const auto batch = leader_.TakeRecords(100, 48u << 10);
+    if (batch.empty()) {
+      Orders(leader_,
+             [&](auto& o, auto outcome, auto* r) { leader_.OnDirect(o, outcome, r, now_); });
+      return false;
+    }
+    ++revision_;
+    for (const auto& p : batch.machines) routes_.PackTold(p.pack, &p.value, revision_);
+    writing_ = true;
+    unheard_ = revision_;
+    return heard ? HearOfWrite() : true;
+  }
+
+  bool HearOfWrite() {
+    if (!writing_) return false;
+    writing_ = false;
+    leader_.RecordsWritten(std::exchange(unheard_, 0), now_);
+    Orders(leader_, [&](auto& o, auto outcome, auto* r) { leader_.OnDirect(o, outcome, r, now_); });
+    return true;
+  }
+
+  bool Exchange(int i, bool lose_answer) {
+    if (!holders_[i]) return false;
+    Holder& h = *holders_[i];
+    for (const auto& [id, e] : routes_.Under(leases_[i])) {
+      h.Assigned(id, e.address, e.version, now_);
+    }
+    h.Tick(now_);
+    const auto orders = [&] {
+      Orders(h.dispatcher(),
+             [&](auto& o, auto outcome, auto* r) { h.OnDirect(o, outcome, r, now_); });
+    };
+    orders();
+    h.FrameLost();
+    if (auto frame = h.NextFrame(revision_, now_)) {
+      frame->node = "hut-" + std::to_string(i);
+      if (desk_.OnFrame(*frame, now_) && !lose_answer) {
+        if (auto answer = desk_.Answer(frame->node)) h.OnFrame(*answer, now_);
+      }
+    }
+    h.dispatcher().Place(now_);
+    orders();
+    return true;
+  }
+
+  const config::Derived derived_;
+  double now_ = 1;
+  uint64_t revision_ = kToken + 1;
+  place::Dispatcher leader_;
+  Desk desk_;
+  Routes routes_;
+  std::vector<wire::MachineType> types_;
+  wire::JobSpec spec_;
+  std::map<std::string, Worker> workers_;
+  std::unique_ptr<Holder> holders_[3];
+  std::vector<std::unique_ptr<Holder>> gone_;
+  uint64_t leases_[3] = {0, 0, 0};
+  bool writing_ = false;
+  uint64_t unheard_ = 0;
+  int done_[kChoices] = {};
+};
+
+TEST(BlockModel, EveryOrderOfEvents) {
+  constexpr size_t kLongest = 9;
+  std::set<std::string> seen;
+  std::vector<std::vector<int>> frontier{{}};
+  size_t walks = 0;
+  for (size_t length = 0; length < kLongest; ++length) {
+    std::vector<std::vector<int>> next;
+    for (const auto& walk : frontier) {
+      for (int choice = 0; choice < Model::kChoices; ++choice) {
+        Model model;
+        for (int c : walk) model.Step(c);
+        const bool changes = model.Step(choice);
+        ++walks;
+        std::vector<int> longer = walk;
+        longer.push_back(choice);
+        model.Check(longer);
+        if (HasFatalFailure()) return;
+        if (changes && seen.insert(model.Print()).second) next.push_back(std::move(longer));
+      }
+    }
+    frontier = std::move(next);
+  }
+  RecordProperty("states", static_cast<int>(seen.size()));
+  RecordProperty("walks", static_cast<int>(walks));
+  // Fewer would mean that walks end early and nothing is tested.
+  EXPECT_GT(seen.size(), 300u);
+}
+
+}  // namespace
+}  // namespace mosspath::block
