--- a/include/mosspath/block/desk.h
+++ b/include/mosspath/block/desk.h
@@ -71,13 +71,17 @@
     bool lost_frame = false;
   };
   Block* Find(const std::string& node);
+  // Whoever held this lease has offered to hold again since, which it does only once it has
+  // stopped.
+  bool Ceased(uint64_t lease) const;
 
   const config::Settings settings_;
   const config::Derived derived_;
   place::Dispatcher& dispatcher_;
   const uint64_t token_;
   bool allowed_ = true;
-  std::map<std::string, Block> blocks_;  // by their controllers
+  std::map<std::string, Block> blocks_;   // by their controllers
+  std::map<uint64_t, std::string> held_;  // leases of this leadership that are over: by whom
 };
 
 }  // namespace mosspath::block
--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -118,6 +119,10 @@
   void LeaseReady(uint64_t lease, bool ready);
   // The lease is over. Its holder may have acted until `last_acted`.
   void CloseLease(uint64_t lease, double last_acted, double now);
+  // Leases that are over, whose machines are not all known yet.
+  std::set<uint64_t> PastLeases() const;
+  // Whoever held this one has certainly stopped acting on it.
+  void HolderCeased(uint64_t lease, double now);
   bool HasLease(uint64_t lease) const { return leased_.Find(lease) != nullptr; }
   // What its holder says.
   void FromHolder(uint64_t lease, const wire::BlockItem& item, double now);
--- a/src/block/desk.cc
+++ b/src/block/desk.cc
@@ -58,6 +58,7 @@
   if (b == nullptr || b->lease == lease) return;
   if (b->lease != 0) {
     spdlog::info("blocks: {} holds its block no longer, lease {}", node, b->lease);
+    held_[b->lease] = node;
     dispatcher_.CloseLease(b->lease, now + derived_.hold_s, now);
     b->not_before = std::max(b->not_before, now + kPauseGrants * derived_.grant_s);
   }
@@ -71,8 +72,20 @@
   dispatcher_.OpenLease(lease, b->index, /*inherited=*/false);
 }
 
+bool Desk::Ceased(uint64_t lease) const {
+  const auto since = [&](const std::string& node) { return blocks_.at(node).offer > lease; };
+  if (const auto held = held_.find(lease); held != held_.end()) return since(held->second);
+  // An earlier leader's: nobody knows whose. This node holds nothing any more.
+  return std::all_of(blocks_.begin(), blocks_.end(), [&](const auto& b) { return since(b.first); });
+}
+
 std::vector<Desk::Change> Desk::Changes(double now) {
   std::vector<Change> changes;
+  const auto past = dispatcher_.PastLeases();
+  for (const uint64_t lease : past) {
+    if (Ceased(lease)) dispatcher_.HolderCeased(lease, now);
+  }
+  std::erase_if(held_, [&](const auto& h) { return !past.contains(h.first); });
   for (auto& [node, b] : blocks_) {
     if (b.lease != 0) {
       if (b.opened < -1e17) b.opened = now;
--- a/src/place/dispatcher_blocks.cc
+++ b/src/place/dispatcher_blocks.cc
@@ -134,6 +134,20 @@
   (void)now;
 }
 
+std::set<uint64_t> Dispatcher::PastLeases() const {
+  std::set<uint64_t> leases;
+  for (const auto& [id, m] : picture_.machines) {
+    if (m.past_lease != 0) leases.insert(m.past_lease);
+  }
+  return leases;
+}
+
+void Dispatcher::HolderCeased(uint64_t lease, double now) {
+  for (auto& [id, m] : picture_.machines) {
+    if (m.past_lease == lease) m.last_answered = std::min(m.last_answered, now);
+  }
+}
+
 void Dispatcher::RecordsWritten(uint64_t revision, double now) {
   for (const auto& id : records_.Written(revision, picture_)) {
     Machine& m = picture_.machines.at(id);
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -238,7 +238,12 @@
   offer_timer_.After(derived_.grant_s / 2, [this] { Offer(); });
   const uint64_t grant = elector_.grant();
   if (grant == 0 || !mirror_.loaded() || offers_[settings_.node].grant == grant) return;
+  // An offer on a new grant tells that nothing is done under an older lease any more: machines that
+  // can't be reached are counted from there.
+  if (own_block_grant_ != grant) StopHolding();
   state::Transaction txn;
+  // A late repetition must not look like a newer offer.
+  txn.conditions.push_back({keys::kHolders + settings_.node, offers_[settings_.node].version});
   txn.changes.push_back({keys::kHolders + settings_.node, Json{{"grant", grant}}, grant});
   state_.Commit(std::move(txn), derived_.call_timeout_s, [](const state::TxnResult&) {});
 }
--- a/tests/standins/controller.cc
+++ b/tests/standins/controller.cc
@@ -303,9 +303,11 @@
   world_.clock.After(0.5, [this, life] {
     if (life == life_) offering_ = false;
   });
+  const uint64_t seen = offer == pairs.end() ? 0 : offer->second.version;
   Ask<uint64_t>(
-      [this, grant = grant_] {
-        return world_.state.Commit({}, {{"holder/" + name_, wire::Json{{"grant", grant}}}}, grant);
+      [this, seen, grant = grant_] {
+        return world_.state.Commit({{"holder/" + name_, seen}},
+                                   {{"holder/" + name_, wire::Json{{"grant", grant}}}}, grant);
       },
       [](uint64_t) {});
 }
