--- a/tests/standins/controller.cc
+++ b/tests/standins/controller.cc
@@ -35,13 +35,13 @@
       return TakeFrame(frame);
     };
   }
-  world_.on_vouch[name_] = [this](uint64_t token) -> std::optional<bool> {
+  world_.on_vouch[name_] = [this](uint64_t token) -> std::optional<World::Vouched> {
     if (!alive_) return std::nullopt;
     if (StandsStill()) {  // it answers when nobody waits any more
       Running([this, token] { Vouch(token); });
       return std::nullopt;
     }
-    return Vouch(token);
+    return World::Vouched{Vouch(token), newest_cancel_};
   };
   Boot();
 }
@@ -132,8 +132,8 @@
     world_.network.Send(name_, peer, [this, life, round, peer, token = token_] {
       const auto promised = world_.on_vouch[peer](token);
       if (!promised) return;
-      world_.network.Send(peer, name_, [this, life, round, peer, ok = *promised] {
-        if (!ok || life != life_) return;
+      world_.network.Send(peer, name_, [this, life, round, peer, v = *promised] {
+        if (!v.promised || life != life_ || v.cancelled > revision_) return;
         Running([this, round, peer] {
           if (const auto asked = vouching_.Promised(round, peer)) view_.Current(*asked);
         });
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -232,7 +232,12 @@
   // How a node takes a report; called at the node.
   std::function<void(const std::string& node, wire::Report, ReportAnswer)> on_report;
   // How a node takes a leader's question whether it vouches; no answer while it is down.
-  std::map<std::string, std::function<std::optional<bool>(uint64_t token)>> on_vouch;
+  // A promise, and the revision of the last cancellation that the node may have told of.
+  struct Vouched {
+    bool promised = false;
+    uint64_t cancelled = 0;
+  };
+  std::map<std::string, std::function<std::optional<Vouched>(uint64_t token)>> on_vouch;
   // How a node takes a frame about a block; its answer, if it takes it.
   std::map<std::string, std::function<std::optional<wire::BlockFrame>(const std::string& frame)>>
       on_frame;
