--- a/include/mosspath/block/channel.h
+++ b/include/mosspath/block/channel.h
@@ -21,8 +21,6 @@
   bool idle() const { return out_.empty(); }
   // There are items that no frame has carried yet.
   bool fresh() const { return sent_ < last(); }
-  // Whether the other has not been told yet what it would be acknowledged.
-  bool owes() const { return acknowledged_ < heard_; }
   size_t bytes() const { return bytes_; }
   uint64_t last() const { return first_ + out_.size() - 1; }
   // A frame was made and leaves.
@@ -39,7 +37,6 @@
   uint64_t first_ = 1;  // number of the first in out_
   uint64_t sent_ = 0;   // the last that a frame has carried
   uint64_t heard_ = 0;
-  uint64_t acknowledged_ = 0;
   uint64_t room_ = wire::kMaxBlockFrame / 2;  // what the other takes, as it last said
 };
 
--- a/src/block/channel.cc
+++ b/src/block/channel.cc
@@ -31,7 +31,6 @@
 }
 
 void Channel::Sent(const wire::BlockFrame& frame) {
-  acknowledged_ = std::max(acknowledged_, frame.heard);
   if (!frame.items.empty()) sent_ = std::max(sent_, frame.first + frame.items.size() - 1);
 }
 
--- a/src/service/holding.cc
+++ b/src/service/holding.cc
@@ -139,30 +139,14 @@
 
 void Holding::SendDirect() {
   for (place::DirectOrder& order : holder_.dispatcher().TakeDirect(net::Now(), links_.Room())) {
-    net::HttpClient* worker = links_.To(order.machine, order.address);
-    if (worker == nullptr) {
-      holder_.OnDirect(order, place::DirectOutcome::kRefused, nullptr, net::Now());
-      continue;
-    }
-    std::string body = wire::DirectCommands(order.token, order.session, order.commands).dump();
     const double timeout = order.commands.empty() ? derived_.ask_s : settings_.report_s;
-    worker->Send(
-        "POST", "/commands", std::move(body), timeout,
-        [self = shared_from_this(), order = std::move(order)](const net::HttpResult& r) {
+    links_.Send(
+        std::move(order), timeout, on_malformed,
+        [self = shared_from_this()](const place::DirectOrder& o, place::DirectOutcome outcome,
+                                    const wire::Report* report) {
           if (self->stopped_) return;
-          auto outcome = place::DirectOutcome::kUnsure;
-          wire::Report report;
-          const bool told = r.status == 200 || r.status == 409;
-          const bool understood =
-              told && net::Understood("worker", "commands", self->on_malformed,
-                                      [&] { report = wire::ReadReport(r.body); });
-          if (!r.sent || r.status == 409) {
-            outcome = place::DirectOutcome::kRefused;
-          } else if (understood) {
-            outcome = place::DirectOutcome::kExecuted;
-          }
-          self->holder_.OnDirect(order, outcome, &report, net::Now());
-          self->Kick();
+          self->holder_.OnDirect(o, outcome, report, net::Now());
+          if (report != nullptr) self->Kick();
         },
         [self = shared_from_this()] { return self->MayAct(); });
   }
--- a/src/service/order_links.cc
+++ b/src/service/order_links.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "mosspath/wire/json.h"
+
 namespace mosspath::service {
 
 size_t OrderLinks::Room() const {
@@ -40,6 +42,30 @@
   return links_.front().client.get();
 }
 
+void OrderLinks::Send(place::DirectOrder order, double timeout_s, net::OnMalformed on_malformed,
+                      Done done, net::HttpClient::StillWanted still_wanted) {
+  net::HttpClient* worker = To(order.machine, order.address);
+  if (worker == nullptr) return done(order, place::DirectOutcome::kRefused, nullptr);
+  std::string body = wire::DirectCommands(order.token, order.session, order.commands).dump();
+  worker->Send(
+      "POST", "/commands", std::move(body), timeout_s,
+      [order = std::move(order), on_malformed = std::move(on_malformed),
+       done = std::move(done)](const net::HttpResult& r) {
+        auto outcome = place::DirectOutcome::kUnsure;
+        wire::Report report;
+        const bool told = r.status == 200 || r.status == 409;
+        const bool understood = told && net::Understood("worker", "commands", on_malformed,
+                                                        [&] { report = wire::ReadReport(r.body); });
+        if (!r.sent || r.status == 409) {
+          outcome = place::DirectOutcome::kRefused;
+        } else if (understood) {
+          outcome = place::DirectOutcome::kExecuted;
+        }
+        done(order, outcome, &report);
+      },
+      std::move(still_wanted));
+}
+
 void OrderLinks::MakeRoom() {
   if (sockets_->used(net::Party::kOrder) < sockets_->limit(net::Party::kOrder)) return;
   for (auto it = links_.rbegin(); it != links_.rend(); ++it) {
