--- a/src/service/admission.cc
+++ b/src/service/admission.cc
@@ -7,8 +7,8 @@
 namespace {
 
 // Tasks of live jobs per megabyte of a controller's memory. One that waits costs its leader 6 bytes
-// (Turns.AWaitingTaskCostsFewBytes), so these are a sixteenth of it, and twice as many are stood.
-constexpr double kTasksPerMb = 10'000;
+// (Turns.AWaitingTaskCostsFewBytes), so these are an eighth of it.
+constexpr double kTasksPerMb = 20'000;
 constexpr double kUserRetriesS = 60;  // PROTOCOL: a user gives up after that
 constexpr double kLeastRetryS = 1;    // and comes back no sooner than that
 constexpr double kLeastTries = 6;     // of a refused user, before it gives up
