--- a/include/mosspath/admission/fair_queue.h
+++ b/include/mosspath/admission/fair_queue.h
@@ -45,6 +45,8 @@
     t->second.now = cls.tag;
     t->second.tag += 1;
     cls.tag += 1 / std::max(cls.weight, 1e-3);
+    // Classes are whatever users call them: those with nothing waiting are kept only while few.
+    if (cls.items.empty() && t->second.classes.size() > kMostClasses) t->second.classes.erase(c);
     Left(t, 1);
     return item;
   }
@@ -84,6 +86,7 @@
     std::map<std::string, Class> classes;
   };
   using Teams = std::map<std::string, Team>;
+  static constexpr size_t kMostClasses = 64;
 
   std::pair<typename Teams::iterator, typename std::map<std::string, Class>::iterator> Next() {
     auto t = teams_.end();
--- a/include/mosspath/admission/gate.h
+++ b/include/mosspath/admission/gate.h
@@ -71,7 +71,7 @@
     uint64_t asked = 0;    // jobs
     uint64_t refused = 0;  // of them
   };
-  // Since this process began, by team and class.
+  // Since this process began, by team and class; beyond a thousand, of all others of a team.
   const std::map<std::pair<std::string, std::string>, Count>& counts() const { return counts_; }
 
  private:
--- a/include/mosspath/service/admission.h
+++ b/include/mosspath/service/admission.h
@@ -9,6 +9,7 @@
 #include "mosspath/admission/gate.h"
 #include "mosspath/admission/plan.h"
 #include "mosspath/config/settings.h"
+#include "mosspath/wire/digest.h"
 
 namespace mosspath::service {
 
@@ -25,6 +26,9 @@
   double Part(double now) const { return share_.Part(now); }
   const admission::Plan& plan() const { return share_.plan(); }
 
+  // For people.
+  wire::AdmissionUse Use(double now) const;
+
   // --- As the leader ---
   void Leads(uint64_t token, double now);
   void Follows() { planner_.reset(); }
--- a/include/mosspath/service/metrics.h
+++ b/include/mosspath/service/metrics.h
@@ -40,6 +40,8 @@
   prometheus::Family<prometheus::Gauge>& waiting_;
   prometheus::Family<prometheus::Gauge>& since_;
   prometheus::Family<prometheus::Gauge>& sockets_;
+  prometheus::Family<prometheus::Gauge>& admission_;
+  prometheus::Family<prometheus::Gauge>& submissions_;
   prometheus::Gauge& age_;
   std::set<std::string> shown_;  // classes and teams
   // Looked up once each: there are hundreds of reports a second.
--- a/include/mosspath/wire/digest.h
+++ b/include/mosspath/wire/digest.h
@@ -85,6 +85,23 @@
   uint64_t sent_off = 0;  // and: answered, and told not to stay
 };
 
+// What the controller that tells accepts (docs/admission.md).
+struct AdmissionUse {
+  struct Group {
+    std::string team;
+    std::string job_class;
+    uint64_t asked = 0;    // jobs, since the process began
+    uint64_t refused = 0;  // of them, as there was no room
+  };
+  double budget = 0;     // tasks of live jobs
+  double live = 0;       // as its view shows
+  double under_way = 0;  // accepted here, not in the view yet
+  double part = 0;       // of the free room, that it may fill before it sees what others did
+  uint64_t plan_token = 0;
+  uint64_t plan_version = 0;
+  std::vector<Group> groups;
+};
+
 // For people and programs; without the jobs.
 struct Status {
   Digest digest;
@@ -92,6 +109,7 @@
   std::string served_by;
   std::vector<ControllerState> controllers;
   std::vector<SocketUse> sockets;
+  AdmissionUse admission;
 };
 Json StatusJson(const Status& s);
 std::string StatusPage(const Status& s);
--- a/src/admission/gate.cc
+++ b/src/admission/gate.cc
@@ -12,7 +12,8 @@
 constexpr double kAssured = 0.25;  // of the budget, that teams are assured together
 constexpr double kLent = 0.5;      // of a controller's part, for teams beyond what they are assured
 constexpr double kDrainMemory = 8;  // times most_s, that ends are remembered for
-constexpr double kSpread = 0.5;     // of a refused user's pause, either way
+constexpr size_t kMostCounted = 1000;
+constexpr double kSpread = 0.5;  // of a refused user's pause, either way
 
 }  // namespace
 
@@ -113,7 +114,9 @@
 Verdict Gate::Ask(const wire::JobSpec& spec, double part, double now) {
   const Of2 of{spec.team, spec.job_class};
   const double tasks = spec.tasks;
-  Count& count = counts_[of];
+  // Classes are whatever users call them.
+  const bool counted = counts_.size() < kMostCounted || counts_.contains(of);
+  Count& count = counts_[counted ? of : Of2{spec.team, "others"}];
   ++count.asked;
   if (out_jobs_.contains(spec.id) || live_jobs_.contains(spec.id)) return {true, 0, {}};
   const auto refuse = [&](std::string why, double over) {
--- a/src/service/admission.cc
+++ b/src/service/admission.cc
@@ -42,6 +42,20 @@
   return demand_ * std::exp(-std::max(0.0, now - demand_at_) / life_s_);
 }
 
+wire::AdmissionUse Admission::Use(double now) const {
+  wire::AdmissionUse use;
+  use.budget = gate_.budget();
+  use.live = gate_.live();
+  use.under_way = gate_.under_way();
+  use.part = share_.Part(now);
+  use.plan_token = share_.plan().token;
+  use.plan_version = share_.plan().version;
+  for (const auto& [of, count] : gate_.counts()) {
+    use.groups.push_back({of.first, of.second, count.asked, count.refused});
+  }
+  return use;
+}
+
 void Admission::Leads(uint64_t token, double now) {
   planner_.emplace(controllers_, token, life_s_, now);
 }
--- a/src/service/metrics.cc
+++ b/src/service/metrics.cc
@@ -63,6 +63,14 @@
                    .Name("mosspath_sockets")
                    .Help("Sockets of this process by party: used, limit, refused, sent off")
                    .Register(registry_)),
+      admission_(prometheus::BuildGauge()
+                     .Name("mosspath_admission")
+                     .Help("Tasks as this process sees them: budget, live, under way; its part")
+                     .Register(registry_)),
+      submissions_(prometheus::BuildGauge()
+                       .Name("mosspath_submissions")
+                       .Help("Jobs that this process was asked to accept, and refused for room")
+                       .Register(registry_)),
       age_(prometheus::BuildGauge()
                .Name("mosspath_status_age_seconds")
                .Help("How old the figures are that this node shows")
@@ -84,6 +92,21 @@
     set("refused", u.refused);
     set("sent_off", u.sent_off);
   }
+  admission_.Add({{"what", "budget"}}).Set(s.admission.budget);
+  admission_.Add({{"what", "live"}}).Set(s.admission.live);
+  admission_.Add({{"what", "under_way"}}).Set(s.admission.under_way);
+  admission_.Add({{"what", "part"}}).Set(s.admission.part);
+  for (const auto& g : s.admission.groups) {
+    const std::string name = g.team + "/" + g.job_class;
+    if (shown_.size() >= kMostShown && !shown_.contains(name)) continue;
+    shown_.insert(name);
+    const auto set = [&](const char* what, uint64_t n) {
+      submissions_.Add({{"team", g.team}, {"class", g.job_class}, {"what", what}})
+          .Set(static_cast<double>(n));
+    };
+    set("asked", g.asked);
+    set("refused", g.refused);
+  }
   const auto show = [&](const std::vector<wire::Digest::Queue>& queues, const char* by) {
     for (const auto& q : queues) {
       if (shown_.size() >= kMostShown && !shown_.contains(q.job_class)) continue;
--- a/src/service/peers.cc
+++ b/src/service/peers.cc
@@ -143,6 +143,7 @@
     s.sockets.push_back({net::Name(p), sockets_->used(p), sockets_->limit(p), sockets_->refused(p),
                          sockets_->sent_off(p)});
   }
+  s.admission = admission_.Use(now);
   if (auto own = own_.digest()) {
     s.digest = std::move(*own);
     return s;
--- a/src/wire/digest.cc
+++ b/src/wire/digest.cc
@@ -225,6 +225,18 @@
     progress.push_back(std::move(j));
   }
   for (const auto& t : d.troubles) troubles.push_back({{"ago_s", t.ago_s}, {"what", t.what}});
+  Json groups = Json::array();
+  for (const auto& g : s.admission.groups) {
+    groups.push_back(
+        {{"team", g.team}, {"class", g.job_class}, {"asked", g.asked}, {"refused", g.refused}});
+  }
+  Json admission{{"budget_tasks", s.admission.budget},
+                 {"live_tasks", s.admission.live},
+                 {"under_way_tasks", s.admission.under_way},
+                 {"part", s.admission.part},
+                 {"plan_token", s.admission.plan_token},
+                 {"plan_version", s.admission.plan_version},
+                 {"groups", std::move(groups)}};
   return Json{{"leader", d.leader},
               {"token", d.token},
               {"settled", d.settled},
@@ -233,6 +245,7 @@
               {"age_s", AgoJson(s.age_s)},
               {"controllers", std::move(controllers)},
               {"sockets", std::move(sockets)},
+              {"admission", std::move(admission)},
               {"blocks", Json::array({{{"holder", d.leader}, {"machines", machines}}})},
               {"queues", QueuesJson(d.queues, "class")},
               {"teams", QueuesJson(d.teams, "team")},
@@ -262,6 +275,16 @@
     out += fmt::format("{:<16} {:>6} of {:>6}  refused {}, sent off {}\n", u.party, u.used, u.limit,
                        u.refused, u.sent_off);
   }
+  const AdmissionUse& a = s.admission;
+  out += fmt::format(
+      "\nAccepted, as {} sees it\n-----------------------\n"
+      "{:.0f} of {:.0f} tasks, {:.0f} under way; it may fill {:.3f} of the room (plan {}.{})\n",
+      s.served_by, a.live, a.budget, a.under_way, a.part, a.plan_token, a.plan_version);
+  for (const auto& g : a.groups) {
+    if (g.refused == 0) continue;
+    out += fmt::format("{:<16} {:<16} {:>6} jobs asked for here, {} refused\n", g.team, g.job_class,
+                       g.asked, g.refused);
+  }
   out += "\nWork\n----\n" + QueuesText(d.queues);
   out += "\nTeams\n-----\n" + QueuesText(d.teams);
   out += "\nMachines\n--------\n";
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -204,7 +204,7 @@
   job = Job("req-000004", 0);
   EXPECT_EQ(Ask(0, "POST", "/api/jobs", job.dump()).first, 400);
   // More tasks than the memory holds: later, not never.
-  for (int i = 100; i < 114; ++i) {
+  for (int i = 100; i < 130; ++i) {
     const auto [status, body] =
         Ask(0, "POST", "/api/jobs", Job("req-000" + std::to_string(i), 99'999).dump());
     if (status == 429) {
@@ -213,7 +213,7 @@
       break;
     }
     EXPECT_EQ(status, 201);
-    EXPECT_NE(i, 113) << "never full";
+    EXPECT_NE(i, 129) << "never full";
     EXPECT_EQ(Ask(0, "GET", "/api/jobs/req-000100").first, 200);
   }
   // A known id is answered before anything is checked.
