--- a/src/place/placer.cc
+++ b/src/place/placer.cc
@@ -120,7 +120,7 @@
     if (hopeless) {
       // It may take any time now, so it goes after all that can keep an aim; but long tasks that
       // begin last would hold machines, and the end of the day, for long.
-      turn = work;
+      turn = -ExpectedRun(*job);
       if (rank < wire::Rank::kHigh) order = -1;
     }
     const bool first = guaranteed.contains(job->spec.team);
