--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -25,33 +25,39 @@
 
 class Loopback : public ::testing::Test {
  protected:
+  static constexpr int kNodes = 3;
+
   Loopback()
-      : address_{FreeAddress(io_), FreeAddress(io_)},
-        back_{FreeAddress(io_), FreeAddress(io_)},
+      : address_{FreeAddress(io_), FreeAddress(io_), FreeAddress(io_)},
+        back_{FreeAddress(io_), FreeAddress(io_), FreeAddress(io_)},
         state_(io_),
-        cloud_(io_, {address_[0], address_[1]}, 0.3, 0.2) {
-    for (int i = 0; i < 2; ++i) {
+        cloud_(io_, {address_[0], address_[1], address_[2]}, 0.3, 0.2) {
+    for (int i = 0; i < kNodes; ++i) {
       Start(i);
       clients_.push_back(
           std::make_unique<net::HttpClient>(io_, address_[i], net::HttpClient::Options{}));
     }
-    for (int i = 0; i < 2; ++i) {
+    for (int i = 0; i < kNodes; ++i) {
       EXPECT_TRUE(Until([&] { return Ask(i, "GET", "/healthz").first == 200; }));
     }
   }
   ~Loopback() override {
-    for (int i = 0; i < 2; ++i) Kill(i);
+    for (int i = 0; i < kNodes; ++i) Kill(i);
   }
 
   void Start(int i) {
     const std::string path = ::testing::TempDir() + "mosspath-" + std::to_string(getpid()) + "-" +
                              std::to_string(i) + ".toml";
-    std::ofstream(path) << "label = \"hut-" << i << "\"\ndomain = \"a\"\npublic_addr = \""
-                        << address_[i] << "\"\nback = \"" << back_[i]
-                        << "\"\n[[seeds]]\nlabel = \"hut-" << 1 - i
-                        << "\"\ndomain = \"a\"\naddress = \"" << back_[1 - i]
-                        << "\"\n[outside]\ncloud = \"" << cloud_.address() << "\"\nstate = \""
-                        << state_.address() << R"("
+    std::ofstream out(path);
+    out << "label = \"hut-" << i << "\"\ndomain = \"a\"\npublic_addr = \"" << address_[i]
+        << "\"\nback = \"" << back_[i] << "\"\n";
+    for (int k = 0; k < kNodes; ++k) {
+      if (k == i) continue;
+      out << "[[seeds]]\nlabel = \"hut-" << k << "\"\ndomain = \"a\"\naddress = \"" << back_[k]
+          << "\"\n";
+    }
+    out << "[outside]\ncloud = \"" << cloud_.address() << "\"\nstate = \"" << state_.address()
+        << R"("
 [facts]
 initial_size = 2
 zones = ["a"]
@@ -62,6 +68,12 @@
 cpus_max = 20.0
 gpus = 0.0
 gpus_max = 0.0
+[[facts.teams]]
+name = "u"
+cpus = 0.0
+cpus_max = 0.0
+gpus = 0.0
+gpus_max = 0.0
 [facts.workers]
 report_s = 0.3
 lease_s = 6.0
@@ -79,6 +91,7 @@
 memory_mb = 200.0
 sockets = 500
 )";
+    out.close();
     std::string program = MOSSPATH_PROGRAM;
     std::string option = "--config";
     std::string file = path;
@@ -129,9 +142,9 @@
   }
 
   asio::io_context io_;
-  std::string address_[2];
-  std::string back_[2];
-  pid_t pid_[2] = {0, 0};
+  std::string address_[kNodes];
+  std::string back_[kNodes];
+  pid_t pid_[kNodes] = {};
   standins::HttpState state_;
   standins::HttpCloud cloud_;
   std::vector<std::unique_ptr<net::HttpClient>> clients_;
@@ -223,6 +236,36 @@
   EXPECT_EQ(Ask(0, "POST", "/api/jobs", job.dump()).first, 200);
 }
 
+// A team fills all that it may have; whoever leads is killed, one after the other. What another
+// team asks for meanwhile is accepted and done, and what was accepted stays known.
+TEST_F(Loopback, AFloodLeavesRoomForAnotherTeamThroughKills) {
+  int flood = 0;
+  const auto more = [&](int node) {
+    const std::string id = "req-001" + std::to_string(100 + flood);
+    const int status = Ask(node, "POST", "/api/jobs", Job(id, 99'999).dump()).first;
+    flood += status == 201 ? 1 : 0;
+    return status;
+  };
+  int refusals = 0;
+  for (int i = 0; i < 200 && refusals < 3; ++i) refusals += more(i % kNodes) == 429 ? 1 : 0;
+  ASSERT_EQ(refusals, 3) << "never full";
+  for (int i = 0; i < kNodes; ++i) {
+    Kill(i);
+    const int other = (i + 1) % kNodes;
+    json job = Job("req-00200" + std::to_string(i), 5);
+    job["house"] = "u";
+    EXPECT_TRUE(
+        Until([&] { return Ask(other, "POST", "/api/jobs", job.dump()).first / 2 == 100; }));
+    EXPECT_NE(more(other), 201);
+    EXPECT_TRUE(Until([&] {
+      return Ask(other, "POST", "/api/jobs", Job("req-001100", 99'999).dump()).first == 200;
+    }));
+    EXPECT_TRUE(Until([&] { return Stage(other, "req-00200" + std::to_string(i)) == "done"; }));
+    Start(i);
+    EXPECT_TRUE(Until([&] { return Ask(i, "GET", "/healthz").first == 200; }));
+  }
+}
+
 TEST_F(Loopback, AStateOutageIsAnsweredAtOnceAndHeals) {
   state_.down = true;
   EXPECT_EQ(Ask(0, "POST", "/api/jobs", Job("req-000005", 1).dump()).first, 503);
