--- a/include/mosspath/admission/gate.h
+++ b/include/mosspath/admission/gate.h
@@ -82,8 +82,8 @@
     uint64_t revision = 0;  // under way: since when it is durable; 0: not known to be
   };
 
-  // What others are assured and have not taken.
-  double Reserved(const std::string& but) const;
+  // What the team is assured and has not taken.
+  double Untaken(const std::string& team) const;
   void Take(const Of2& of, double tasks);
   void Forget(const std::string& id);  // not under way any more
   double Weight(const std::string& name) const;
@@ -95,6 +95,7 @@
   const double most_s_;
   std::map<std::string, double> weights_;
   std::map<std::string, double> assured_;
+  double untaken_ = 0;  // by all teams
   std::unordered_map<std::string, Entry> live_jobs_;
   std::unordered_map<std::string, Entry> out_jobs_;
   double live_ = 0;
--- a/src/admission/gate.cc
+++ b/src/admission/gate.cc
@@ -31,6 +31,8 @@
   for (const auto& name : names_) {
     assured_[name] = sum > 0 ? kAssured * budget_ * Weight(name) / sum : 0;
   }
+  untaken_ = 0;
+  for (const auto& name : names_) untaken_ += Untaken(name);
 }
 
 double Gate::Assured(const std::string& team) const {
@@ -38,12 +40,8 @@
   return it == assured_.end() ? 0 : it->second;
 }
 
-double Gate::Reserved(const std::string& but) const {
-  double sum = 0;
-  for (const auto& [name, assured] : assured_) {
-    if (name != but) sum += std::max(0.0, assured - Of(name));
-  }
-  return sum;
+double Gate::Untaken(const std::string& team) const {
+  return std::max(0.0, Assured(team) - Of(team));
 }
 
 double Gate::Weight(const std::string& name) const {
@@ -57,8 +55,10 @@
     sum += tasks;
     if (sum <= 0) sums.erase(key);
   };
+  const double before = Untaken(of.first);
   add(teams_, of.first);
   add(classes_, of);
+  untaken_ += Untaken(of.first) - before;
 }
 
 double Gate::Of(const std::string& team) const {
@@ -134,7 +134,7 @@
                               out_, may_out),
                   over);
   }
-  const double lent = std::max(0.0, seen_free - out_ - Reserved(spec.team));
+  const double lent = std::max(0.0, seen_free - out_ - (untaken_ - Untaken(spec.team)));
   const double team_limit = std::max(Assured(spec.team), Weight(spec.team) * lent);
   const auto it = classes_.find(of);
   const double class_has = it == classes_.end() ? 0 : it->second;
