--- a/rehearsal/controller.h
+++ b/rehearsal/controller.h
@@ -41,8 +41,8 @@
   void OnReport(const wire::Report& r, const World::ReportAnswer& answer);
 
   // --- Users ---
-  // It told a user that a job is cancelled, durable since that revision: so it knows, whatever it has
-  // read. Told by nobody that would know, peers vouched for a leader that had not heard of it.
+  // It told a user that a job is cancelled, durable since that revision: so it knows, whatever it
+  // has read. Told by nobody that would know, peers vouched for a leader that had not heard of it.
   void ToldCancelled(uint64_t revision) { newest_cancel_ = std::max(newest_cancel_, revision); }
   using SubmitAnswer = std::function<void(int status, double retry_after_s)>;
   void OnSubmit(const wire::JobSpec& spec, const SubmitAnswer& answer);
--- a/rehearsal/overload.cc
+++ b/rehearsal/overload.cc
@@ -178,9 +178,8 @@
   const uint64_t version = world.state.VersionOf("job/" + id);
   Controller& asked = *controllers[world.random.Below(controllers.size())];
   if (version == 0 || !world.state.up() || !asked.up()) return;
-  asked.ToldCancelled(
-      world.state.Commit({{"job/" + id, version}},
-                         {{"job/" + id, std::nullopt}, {"cancelled/" + id, wire::Json{}}}));
+  asked.ToldCancelled(world.state.Commit(
+      {{"job/" + id, version}}, {{"job/" + id, std::nullopt}, {"cancelled/" + id, wire::Json{}}}));
   world.checker.ToldCancelled(id, world.clock.now());
 }
 
--- a/tests/acceptor_test.cc
+++ b/tests/acceptor_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include "mosspath/service/keys.h"
 #include "standins/http_services.h"
 
@@ -104,5 +106,27 @@
   EXPECT_EQ(Submit(0, 40).at(Acceptor::Outcome::kUnsure), 40);
 }
 
+// One team's flood leaves places to others, and the next of another team goes before what waits of
+// it.
+TEST_F(AcceptorTest, ATeamsFloodLeavesPlacesAndTurns) {
+  acceptor_.Share(true);
+  int full = 0;
+  int accepted = 0;
+  for (int i = 0; i < 600; ++i) {
+    acceptor_.Accept(Spec(1000 + i), 7, [&](Acceptor::Outcome o, uint64_t) {
+      ++(o == Acceptor::Outcome::kFull ? full : accepted);
+    });
+  }
+  EXPECT_GT(full, 300);
+  EXPECT_GT(600 - full, 200);
+  wire::JobSpec other = Spec(5000);
+  other.team = "u";
+  std::optional<Acceptor::Outcome> told;
+  acceptor_.Accept(other, 7, [&](Acceptor::Outcome o, uint64_t) { told = o; });
+  while (!told) io_.run_one();
+  EXPECT_EQ(*told, Acceptor::Outcome::kNew);
+  EXPECT_LT(accepted, 120);
+}
+
 }  // namespace
 }  // namespace mosspath::service
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -306,6 +306,16 @@
   EXPECT_EQ(planner.For("stranger", 100, 31).life_s, 0);
 }
 
+TEST(Plan, AnOlderOneChangesNothing) {
+  Share share(2);
+  share.Told({7, 3, 4, 0.3}, 10);
+  share.Told({6, 9, 4, 0.4}, 11);  // of an earlier leadership
+  share.Told({7, 2, 4, 0.4}, 11);
+  share.Told({8, 1, 0, 0.4}, 11);  // of one that does not plan
+  EXPECT_EQ(share.Part(13.9), 0.3);
+  EXPECT_EQ(share.Part(14), LeastPart(2));
+}
+
 RC_GTEST_PROP(FairQueue, NobodyWaitsBehindAnothersQueue, ()) {
   FairQueue<std::pair<std::string, int>> queue;
   const int flood = *rc::gen::inRange(1, 300);
--- a/tests/block_test.cc
+++ b/tests/block_test.cc
@@ -442,8 +442,8 @@
   int done_[kChoices] = {};
 };
 
-// Handed over a second time before its holder ever saw the record in between, a machine has the tasks
-// that it is handed with. Taken for nowhere, as after the first time, they ran twice.
+// Handed over a second time before its holder ever saw the record in between, a machine has the
+// tasks that it is handed with. Taken for nowhere, as after the first time, they ran twice.
 TEST(BlockHolder, AMachineHandedOverAgainIsNotTheOneGivenBack) {
   config::Settings s;
   s.node = "hut-1";
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -145,7 +145,7 @@
   config::Settings s;
   s.nodes = 3;
   s.zones = {"a", "b"};
-  s.teams = {{"t", 0, 0, 0, 0}};
+  s.teams = {{"t", 0, 0, 0, 0}, {"guest", 0, 0, 0, 0}};
   s.objectives = {{"wait", "aimed", 900, 0.9, 1}};
   s.report_s = 2;
   s.lease_s = 20;
@@ -241,6 +241,76 @@
   std::map<std::string, uint64_t> seq_;
 };
 
+// However much urgent work waits, a team holds its floor of the machines: when there is room for
+// all to choose, when room comes free on one, and against preemption.
+class TurnsTest : public DispatcherTest {
+ protected:
+  TurnsTest() {
+    config::OperatorSettings s;
+    s.turn_share = 0.5;  // 2 of 8 CPUs for each of two teams
+    d_.Apply(s);
+    Ready("vm-1", 1);
+    Ready("vm-2", 1);
+  }
+  void Guest(uint32_t tasks, double at) {
+    wire::JobSpec s = Job(2, tasks, 1, wire::Rank::kLow);
+    s.team = "guest";
+    s.image = "other";
+    d_.AddJob(s, 12, at);
+  }
+  uint32_t Placed(int number) { return d_.FindJob("req-" + std::to_string(number))->placed(); }
+  // What the machine was told to start, as it reports it.
+  std::vector<wire::TaskReport> Started(const std::string& id, double now) {
+    std::vector<wire::TaskReport> tasks;
+    for (const auto& c : Only(Report(id, now), wire::Op::kStart)) {
+      tasks.push_back({c.task, c.attempt, wire::TaskState::kRunning, wire::Why::kNone, false});
+    }
+    return tasks;
+  }
+};
+
+TEST_F(TurnsTest, ATeamGetsItsFloorBeforeUrgentWork) {
+  d_.AddJob(Job(1, 40, 1, wire::Rank::kHigh), 11, 1);
+  Guest(10, 1.5);
+  Report("vm-1", 2);
+  Report("vm-2", 2);
+  EXPECT_EQ(Placed(1), 6u);
+  EXPECT_EQ(Placed(2), 2u);
+}
+
+TEST_F(TurnsTest, RoomThatComesFreeGoesToWhoIsOwed) {
+  d_.AddJob(Job(1, 40, 1, wire::Rank::kHigh), 11, 1);
+  Report("vm-2", 2);
+  auto tasks = Started("vm-1", 2);
+  ASSERT_EQ(tasks.size(), 4u);
+  Guest(10, 2);
+  Report("vm-1", 3, tasks);
+  EXPECT_EQ(Placed(2), 0u);
+  // Old enough that a fetch is worth it.
+  for (int i : {0, 1, 2}) {
+    tasks[static_cast<size_t>(i)].state = wire::TaskState::kExited;
+    tasks[static_cast<size_t>(i)].why = wire::Why::kDone;
+  }
+  d_.Place(10);
+  Report("vm-1", 10, tasks);
+  EXPECT_EQ(Placed(2), 2u);
+  EXPECT_EQ(Placed(1), 6u);
+}
+
+TEST_F(TurnsTest, WhatATeamsFloorHoldsIsNotPreempted) {
+  Guest(10, 1);
+  const auto one = Started("vm-1", 2);
+  const auto two = Started("vm-2", 2);
+  ASSERT_EQ(one.size() + two.size(), 8u);
+  Report("vm-1", 3, one);
+  Report("vm-2", 3, two);
+  d_.AddJob(Job(1, 40, 1, wire::Rank::kHigh), 11, 3);
+  d_.Tick(3.1 + settings_.report_s);
+  EXPECT_EQ(Only(Report("vm-1", 6, one), wire::Op::kStop).size() +
+                Only(Report("vm-2", 6, two), wire::Op::kStop).size(),
+            6u);
+}
+
 TEST_F(DispatcherTest, StartsNothingOnAMachineThatIsNotRecordedYet) {
   d_.AddJob(Job(1, 2, 1, wire::Rank::kNormal), 11, 0);
   EXPECT_TRUE(Only(Report("vm-1", 1), wire::Op::kStart).empty());
