--- a/rehearsal/cluster.cc
+++ b/rehearsal/cluster.cc
@@ -14,6 +14,37 @@
 
 }  // namespace
 
+config::Settings SmallSettings() {
+  config::Settings s;
+  s.node = "hut-0";
+  s.nodes = 3;
+  s.zones = {"east", "west"};
+  s.teams = {{"free", 0, 0, 0, 0}, {"tight", 4, 10, 0, 0}};
+  s.report_s = 1.5;
+  s.lease_s = 10;
+  s.cancel_s = 20;
+  s.state_rps = 100;
+  s.state_write_rps = 25;
+  s.value_kb = 8;
+  s.txn_ops = 8;
+  s.cloud_rps = 5;
+  s.list_lag_s = 3;
+  return s;
+}
+
+wire::MachineType SmallType() {
+  wire::MachineType t;
+  t.name = "box";
+  t.cpus = 8;
+  t.memory_gb = 32;
+  t.cache_gb = 20;
+  t.fetch_gb_per_s = 1;
+  t.price = 1;
+  t.boot_s = 10;
+  t.zones = {"east", "west"};
+  return t;
+}
+
 std::string ToText(const Fault& f) {
   return fmt::format("{:.1f} s: {} for {:.1f} s{} (pick {})", f.at,
                      kNames[static_cast<size_t>(f.kind)], f.for_s, f.hold ? ", held back" : "",
--- a/rehearsal/cluster.h
+++ b/rehearsal/cluster.h
@@ -11,6 +11,10 @@
 
 namespace mosspath::rehearsal {
 
+// Three controllers, teams without and with limits, quick reports: what days are made of.
+config::Settings SmallSettings();
+wire::MachineType SmallType();
+
 struct Fault {
   enum class Kind {
     kCrash,       // the leader
--- a/rehearsal/overload.cc
+++ b/rehearsal/overload.cc
@@ -19,19 +19,6 @@
 const std::string kGuest = "guest";  // who floods
 const std::string kSmall = "small";  // within its means, beside them
 
-wire::MachineType Box() {
-  wire::MachineType t;
-  t.name = "box";
-  t.cpus = 8;
-  t.memory_gb = 64;
-  t.cache_gb = 20;
-  t.fetch_gb_per_s = 1;
-  t.price = 1;
-  t.boot_s = 10;
-  t.zones = {"east", "west"};
-  return t;
-}
-
 double Quantile(const std::vector<double>& values, double q) {
   namespace acc = boost::accumulators;
   if (values.empty()) return 0;
@@ -44,29 +31,18 @@
 }  // namespace
 
 config::Settings OverloadDay::Of(uint64_t seed) {
-  config::Settings s;
-  s.node = "hut-0";
-  s.zones = {"east", "west"};
+  config::Settings s = SmallSettings();
   s.teams = {{kDesk, 0, 0, 0, 0}, {kGuest, 0, 0, 0, 0}, {kSmall, 0, 0, 0, 0}};
   if (static_cast<Shape>(seed % static_cast<uint64_t>(Shape::kShapes)) == Shape::kManyTeams) {
     for (int i = 0; i < 200; ++i) s.teams.push_back({fmt::format("team-{}", i), 0, 0, 0, 0});
   }
   s.objectives = {{"wait", "urgent", 10, 0.9, 1}, {"finished", "nightly", 120, 0.9, 1}};
-  s.report_s = 1.5;
-  s.lease_s = 10;
-  s.cancel_s = 20;
-  s.state_rps = 100;
-  s.state_write_rps = 25;
-  s.value_kb = 8;
-  s.txn_ops = 8;
-  s.cloud_rps = 5;
-  s.list_lag_s = 3;
-  s.memory_mb = 0.6;  // 6,000 tasks
+  s.memory_mb = 0.3;  // 6,000 tasks
   return s;
 }
 
 OverloadDay::OverloadDay(uint64_t seed, const std::vector<Fault>& faults)
-    : Cluster(Of(seed), {Box()}, 3 + seed / static_cast<uint64_t>(Shape::kShapes) % 5, seed),
+    : Cluster(Of(seed), {SmallType()}, 3 + seed / static_cast<uint64_t>(Shape::kShapes) % 5, seed),
       seed_(seed),
       shape_(static_cast<Shape>(seed % static_cast<uint64_t>(Shape::kShapes))) {
   world.capacity = kMachines;
@@ -75,7 +51,7 @@
   if (shape_ == Shape::kFewChanges) {
     for (auto& c : controllers) c->ChangesASecond(1);
   }
-  capacity_ = kEnd * static_cast<double>(kMachines) * Box().cpus;
+  capacity_ = kEnd * static_cast<double>(kMachines) * SmallType().cpus;
   Stream({kDesk, "urgent"}, wire::Rank::kHigh, 30, 20, 4, 1, 100);
   Stream({kDesk, "nightly"}, wire::Rank::kNormal, 40, 60, 8, 1, 100);
   Stream({kDesk, "refill"}, wire::Rank::kLow, 12, 30, 10, 1, 100);
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -5,45 +5,16 @@
 #include <string>
 #include <vector>
 
-#include "rehearsal/controller.h"
+#include "rehearsal/cluster.h"
 
 namespace mosspath {
 namespace {
 
 using rehearsal::Controller;
+using rehearsal::SmallSettings;
+using rehearsal::SmallType;
 using rehearsal::World;
 
-config::Settings SmallSettings() {
-  config::Settings s;
-  s.node = "hut-0";
-  s.nodes = 3;
-  s.zones = {"east", "west"};
-  s.teams = {{"free", 0, 0, 0, 0}, {"tight", 4, 10, 0, 0}};
-  s.report_s = 1.5;
-  s.lease_s = 10;
-  s.cancel_s = 20;
-  s.state_rps = 100;
-  s.state_write_rps = 25;
-  s.value_kb = 8;
-  s.txn_ops = 8;
-  s.cloud_rps = 5;
-  s.list_lag_s = 3;
-  return s;
-}
-
-wire::MachineType SmallType() {
-  wire::MachineType t;
-  t.name = "box";
-  t.cpus = 8;
-  t.memory_gb = 32;
-  t.cache_gb = 20;
-  t.fetch_gb_per_s = 1;
-  t.price = 1;
-  t.boot_s = 10;
-  t.zones = {"east", "west"};
-  return t;
-}
-
 struct Trouble {
   bool crashes = false;
   bool cuts = false;        // controllers from the state service or from workers
@@ -63,39 +34,26 @@
   return s;
 }
 
-class Day {
+class Day : public rehearsal::Cluster {
  public:
   Day(uint64_t seed, Trouble trouble)
-      : blocks_(trouble.blocks), world_(With(SmallSettings(), trouble), {SmallType()}, seed) {
-    for (const char* name : {"hut-0", "hut-1", "hut-2"}) world_.nodes.emplace_back(name);
-    world_.on_report = [this](const std::string& node, const wire::Report& r,
-                              const World::ReportAnswer& answer) {
-      for (auto& c : controllers_) {
-        if (c->name() == node) c->OnReport(r, answer);
-      }
-    };
-    const double drift[] = {1.0, 1.0005, 0.9995};
-    for (size_t i = 0; i < world_.nodes.size(); ++i) {
-      controllers_.push_back(std::make_unique<Controller>(world_, world_.nodes[i], drift[i]));
-    }
-    for (int i = 0; i < 8; ++i) world_.AddMachine("box", i % 2 == 0 ? "east" : "west", i >= 6);
+      : Cluster(With(SmallSettings(), trouble), {SmallType()}, 3, seed), blocks_(trouble.blocks) {
+    for (int i = 0; i < 8; ++i) world.AddMachine("box", i % 2 == 0 ? "east" : "west", i >= 6);
     for (int i = 0; i < 30; ++i) {
-      world_.clock.At(world_.random.Uniform(0, 90), [this, i] { SubmitOne(i); });
+      world.clock.At(world.random.Uniform(0, 90), [this, i] { SubmitOne(i); });
     }
     for (int i = 0; i < 5; ++i) Plan(trouble);
-    CheckRules();
-    world_.clock.RunUntil(trouble.blocks ? 300 : 240);
+    world.clock.RunUntil(trouble.blocks ? 300 : 240);
   }
 
-  World& world() { return world_; }
   uint64_t held_starts() const {
     uint64_t n = 0;
-    for (const auto& c : controllers_) n += c->held_starts();
+    for (const auto& c : controllers) n += c->held_starts();
     return n;
   }
   std::string Unfinished() {
     std::string out;
-    for (const auto& [key, pair] : world_.state.pairs()) {
+    for (const auto& [key, pair] : world.state.pairs()) {
       if (key.starts_with("job/")) out += key + "\n";
     }
     return out;
@@ -108,8 +66,8 @@
     s.job_class = "work";
     s.team = i % 3 == 0 ? "tight" : "free";
     s.rank = static_cast<wire::Rank>(i % 3);
-    s.tasks = 1 + static_cast<uint32_t>(world_.random.Below(12));
-    s.cpus = 1 + static_cast<double>(world_.random.Below(3));
+    s.tasks = 1 + static_cast<uint32_t>(world.random.Below(12));
+    s.cpus = 1 + static_cast<double>(world.random.Below(3));
     s.memory_gb = 2;
     s.image = "img-" + std::to_string(i % 4);
     s.image_gb = 1;
@@ -118,163 +76,151 @@
     s.spread = i % (blocks_ ? 14 : 7) == 2;
     if (i % 7 == 3) s.zone = "west";
     s.spot = i % 2 == 0;
-    s.estimate_s = world_.random.Uniform(2, 12);
-    world_.Submit(s);
-    world_.state.Commit({}, {{"job/" + s.id, wire::Json{}}});
+    s.estimate_s = world.random.Uniform(2, 12);
+    world.Submit(s);
+    world.state.Commit({}, {{"job/" + s.id, wire::Json{}}});
     if (i % 6 == 5) {
-      world_.clock.After(world_.random.Uniform(1, 15), [this, id = s.id] { Cancel(id); });
+      world.clock.After(world.random.Uniform(1, 15), [this, id = s.id] { Cancel(id); });
     }
   }
 
   void Cancel(const std::string& id) {
-    const uint64_t version = world_.state.VersionOf("job/" + id);
+    const uint64_t version = world.state.VersionOf("job/" + id);
     Controller& asked = Any();
-    if (version == 0 || !world_.state.up() || !asked.up()) return;
+    if (version == 0 || !world.state.up() || !asked.up()) return;
     if (const uint64_t revision =
-            world_.state.Commit({{"job/" + id, version}},
-                                {{"job/" + id, std::nullopt}, {"cancelled/" + id, wire::Json{}}});
+            world.state.Commit({{"job/" + id, version}},
+                               {{"job/" + id, std::nullopt}, {"cancelled/" + id, wire::Json{}}});
         revision != 0) {
       asked.ToldCancelled(revision);
-      world_.checker.ToldCancelled(id, world_.clock.now());
+      world.checker.ToldCancelled(id, world.clock.now());
     }
   }
 
-  Controller& Any() { return *controllers_[world_.random.Below(controllers_.size())]; }
-  Controller& Leader() {
-    for (auto& c : controllers_) {
-      if (c->leading()) return *c;
-    }
-    return Any();
-  }
+  Controller& Any() { return *controllers[world.random.Below(controllers.size())]; }
+  Controller& Leader() { return Cluster::Leader(world.random.Below(controllers.size())); }
 
   void Plan(const Trouble& t) {
-    auto& w = world_;
+    auto& w = world;
     const auto at = [&](std::function<void()> f) {
       w.clock.At(w.random.Uniform(10, 110), std::move(f));
     };
     if (t.crashes) {
-      at([this] { Leader().Crash(world_.random.Uniform(0.5, 6)); });
+      at([this] { Leader().Crash(world.random.Uniform(0.5, 6)); });
       at([this] {
-        if (world_.random.Below(3) == 0) {
-          for (auto& c : controllers_) c->Crash(3);
+        if (world.random.Below(3) == 0) {
+          for (auto& c : controllers) c->Crash(3);
         }
       });
     }
     if (t.freezes) {
-      at([this] { Leader().Freeze(world_.random.Uniform(0.2, 3)); });
+      at([this] { Leader().Freeze(world.random.Uniform(0.2, 3)); });
       at([this] {
         // At any step of a takeover, the successor too.
-        Leader().Freeze(world_.random.Uniform(1, 25));
+        Leader().Freeze(world.random.Uniform(1, 25));
         for (int i = 0; i < 3; ++i) {
-          world_.clock.After(world_.random.Uniform(0.5, 8), [this] {
-            if (world_.random.Below(2) == 0) Leader().Freeze(world_.random.Uniform(0.5, 20));
+          world.clock.After(world.random.Uniform(0.5, 8), [this] {
+            if (world.random.Below(2) == 0) Leader().Freeze(world.random.Uniform(0.5, 20));
           });
         }
       });
     }
     if (t.gone) {
       at([this] {
-        const double s = world_.random.Uniform(10, 40);
+        const double s = world.random.Uniform(10, 40);
         Any().Crash(s);
-        if (world_.random.Below(2) == 0) Any().Crash(s);
+        if (world.random.Below(2) == 0) Any().Crash(s);
       });
       at([this] {
         // One is left, and stands still until the workers' leases are over.
         Controller& left = Leader();
-        for (auto& c : controllers_) {
+        for (auto& c : controllers) {
           if (c.get() != &left) c->Crash(60);
         }
-        world_.clock.After(3, [this, &left] {
-          left.Freeze(world_.settings.lease_s * world_.random.Uniform(1.2, 2));
+        world.clock.After(3, [this, &left] {
+          left.Freeze(world.settings.lease_s * world.random.Uniform(1.2, 2));
         });
       });
     }
     if (t.unread) {
-      at([this] { Leader().Unread(world_.random.Uniform(3, 40)); });
+      at([this] { Leader().Unread(world.random.Uniform(3, 40)); });
       at([this] {
-        const double s = world_.random.Uniform(3, 30);
-        for (auto& c : controllers_) c->Unread(s);
+        const double s = world.random.Uniform(3, 30);
+        for (auto& c : controllers) c->Unread(s);
       });
     }
     if (t.cuts) {
       at([this] {
         const std::string name = Leader().name();
-        const double s = world_.random.Uniform(2, 25);
-        const bool hold = world_.random.Below(2) == 0;
-        const auto kind = world_.random.Below(3);
-        if (kind != 1) world_.network.Cut(name, "state", s, hold);
+        const double s = world.random.Uniform(2, 25);
+        const bool hold = world.random.Below(2) == 0;
+        const auto kind = world.random.Below(3);
+        if (kind != 1) world.network.Cut(name, "state", s, hold);
         if (kind == 0) return;
-        for (auto& [id, m] : world_.workers) world_.network.Cut(name, id, s, hold);
+        for (auto& [id, m] : world.workers) world.network.Cut(name, id, s, hold);
       });
     }
     if (t.partitions) {
       at([this] {
-        const double s = world_.random.Uniform(3, 25);
-        const auto which = world_.random.Below(2);
+        const double s = world.random.Uniform(3, 25);
+        const auto which = world.random.Below(2);
         size_t i = 0;
-        for (auto& [id, m] : world_.workers) {
+        for (auto& [id, m] : world.workers) {
           if (i++ % 2 != which) continue;
-          for (auto& c : controllers_) world_.network.Cut(c->name(), id, s, true);
+          for (auto& c : controllers) world.network.Cut(c->name(), id, s, true);
         }
       });
     }
     if (t.apart) {
       at([this] {
         const std::string name = Any().name();
-        const double s = world_.random.Uniform(2, 40);
-        const bool hold = world_.random.Below(2) == 0;
-        for (const auto& other : world_.nodes) {
-          if (other != name) world_.network.Cut(name, other, s, hold);
+        const double s = world.random.Uniform(2, 40);
+        const bool hold = world.random.Below(2) == 0;
+        for (const auto& other : world.nodes) {
+          if (other != name) world.network.Cut(name, other, s, hold);
         }
-        if (world_.random.Below(2) == 0) world_.network.Cut(name, "state", s, hold);
+        if (world.random.Below(2) == 0) world.network.Cut(name, "state", s, hold);
       });
       at([this] {
         // One that leads or holds, from everything outside its zone.
         const std::string name = Any().name();
-        const std::string zone = world_.ZoneOf(name);
-        const double s = world_.random.Uniform(5, 45);
-        world_.network.Cut(name, "state", s, true);
-        for (const auto& other : world_.nodes) {
-          if (world_.ZoneOf(other) != zone) world_.network.Cut(name, other, s, true);
+        const std::string zone = world.ZoneOf(name);
+        const double s = world.random.Uniform(5, 45);
+        world.network.Cut(name, "state", s, true);
+        for (const auto& other : world.nodes) {
+          if (world.ZoneOf(other) != zone) world.network.Cut(name, other, s, true);
         }
-        for (auto& [id, worker] : world_.workers) {
+        for (auto& [id, worker] : world.workers) {
           const bool inside = worker->zone() == zone;
-          for (const auto& node : world_.nodes) {
-            if ((world_.ZoneOf(node) == zone) != inside) world_.network.Cut(node, id, s, true);
+          for (const auto& node : world.nodes) {
+            if ((world.ZoneOf(node) == zone) != inside) world.network.Cut(node, id, s, true);
           }
         }
       });
     }
     if (t.outages) {
       at([this] {
-        if (world_.state.up()) world_.state.Outage(world_.random.Uniform(1, 15));
+        if (world.state.up()) world.state.Outage(world.random.Uniform(1, 15));
       });
     }
     if (t.deaths) {
       at([this] {
-        auto it = world_.workers.begin();
-        std::advance(it, static_cast<std::ptrdiff_t>(world_.random.Below(world_.workers.size())));
-        const std::string zone = world_.random.Below(2) == 0 ? "east" : "west";
+        auto it = world.workers.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(world.random.Below(world.workers.size())));
+        const std::string zone = world.random.Below(2) == 0 ? "east" : "west";
         it->second->Die();
-        world_.clock.After(5, [this, zone] { world_.AddMachine("box", zone, false); });
+        world.clock.After(5, [this, zone] { world.AddMachine("box", zone, false); });
       });
     }
     if (t.sick) {
       at([this] {
-        world_.workers.begin()->second->sick = true;
-        world_.clock.After(2, [this] { world_.AddMachine("box", "east", false); });
+        world.workers.begin()->second->sick = true;
+        world.clock.After(2, [this] { world.AddMachine("box", "east", false); });
       });
     }
   }
 
-  void CheckRules() {
-    world_.checker.Tick(world_.clock.now());
-    world_.clock.After(0.5, [this] { CheckRules(); });
-  }
-
   const bool blocks_;
-  World world_;
-  std::vector<std::unique_ptr<Controller>> controllers_;
 };
 
 std::string All(const std::vector<std::string>& lines) {
@@ -287,11 +233,11 @@
   uint64_t held = 0;
   for (int d = 0; d < days; ++d) {
     Day day(first_seed + static_cast<uint64_t>(d), trouble);
-    EXPECT_TRUE(day.world().checker.breaches().empty())
+    EXPECT_TRUE(day.world.checker.breaches().empty())
         << "seed " << first_seed + static_cast<uint64_t>(d) << "\n"
-        << All(day.world().checker.breaches());
+        << All(day.world.checker.breaches());
     // 30 jobs, up to 5 of them cancelled: the rest must get done, or nothing was tested.
-    EXPECT_GE(day.world().checker.done_jobs(), 22u)
+    EXPECT_GE(day.world.checker.done_jobs(), 22u)
         << "seed " << first_seed + static_cast<uint64_t>(d) << "\n"
         << day.Unfinished();
     held += day.held_starts();
@@ -652,9 +598,9 @@
 // The checker itself: planted violations must be caught.
 class Planted : public ::testing::Test {
  protected:
-  Planted() : world_(SmallSettings(), {SmallType()}, 1) {
-    world_.nodes = {"hut-0"};
-    world_.on_report = [](const std::string&, const wire::Report&, const World::ReportAnswer&) {};
+  Planted() : world(SmallSettings(), {SmallType()}, 1) {
+    world.nodes = {"hut-0"};
+    world.on_report = [](const std::string&, const wire::Report&, const World::ReportAnswer&) {};
     spec_.id = "req-1";
     spec_.team = "tight";
     spec_.tasks = 12;
@@ -662,56 +608,56 @@
     spec_.image = "i";
     spec_.estimate_s = 5;
     spec_.zone = "east";
-    world_.Submit(spec_);
+    world.Submit(spec_);
   }
   wire::Command Start(uint32_t index) { return {wire::Op::kStart, {"req-1", index}, 7, 0}; }
   bool Caught(const std::string& rule) {
-    for (const auto& b : world_.checker.breaches()) {
+    for (const auto& b : world.checker.breaches()) {
       if (b.starts_with(rule)) return true;
     }
     return false;
   }
 
-  World world_;
+  World world;
   wire::JobSpec spec_;
 };
 
 TEST_F(Planted, RanTwiceIsCaught) {
-  auto& a = world_.AddMachine("box", "east", false);
-  auto& b = world_.AddMachine("box", "east", false);
+  auto& a = world.AddMachine("box", "east", false);
+  auto& b = world.AddMachine("box", "east", false);
   a.Commands(1, 1, {Start(0)});
   b.Commands(1, 1, {Start(0)});
-  world_.clock.RunUntil(1.5);
+  world.clock.RunUntil(1.5);
   EXPECT_TRUE(Caught("ran_twice"));
 }
 
 TEST_F(Planted, WrongPlaceIsCaught) {
-  world_.AddMachine("box", "west", false).Commands(1, 1, {Start(0)});
-  world_.clock.RunUntil(1.5);
+  world.AddMachine("box", "west", false).Commands(1, 1, {Start(0)});
+  world.clock.RunUntil(1.5);
   EXPECT_TRUE(Caught("wrong_place"));
 }
 
 TEST_F(Planted, QuotaIsCaught) {
-  auto& a = world_.AddMachine("box", "east", false);
-  auto& b = world_.AddMachine("box", "east", false);
+  auto& a = world.AddMachine("box", "east", false);
+  auto& b = world.AddMachine("box", "east", false);
   for (uint32_t i = 0; i < 12; ++i) (i % 2 == 0 ? a : b).Commands(1, 1, {Start(i)});
-  world_.clock.RunUntil(1.5);
+  world.clock.RunUntil(1.5);
   EXPECT_TRUE(Caught("quota"));
 }
 
 TEST_F(Planted, CancelledButRunningIsCaught) {
   spec_.kind = wire::Kind::kService;
-  world_.Submit(spec_);
-  auto& a = world_.AddMachine("box", "east", false);
-  world_.checker.ToldCancelled("req-1", 0);
-  world_.clock.At(25, [&] { a.Commands(1, 3, {Start(0)}); });  // its third session by then
-  world_.clock.RunUntil(27);
-  world_.checker.Tick(27);
+  world.Submit(spec_);
+  auto& a = world.AddMachine("box", "east", false);
+  world.checker.ToldCancelled("req-1", 0);
+  world.clock.At(25, [&] { a.Commands(1, 3, {Start(0)}); });  // its third session by then
+  world.clock.RunUntil(27);
+  world.checker.Tick(27);
   EXPECT_TRUE(Caught("ran_cancelled"));
 }
 
 TEST_F(Planted, DoneTooEarlyIsCaught) {
-  world_.checker.ToldDone("req-1", 0);
+  world.checker.ToldDone("req-1", 0);
   EXPECT_TRUE(Caught("not_done"));
 }
 
