--- a/include/mosspath/block/holder.h
+++ b/include/mosspath/block/holder.h
@@ -91,7 +91,7 @@
   double next_frame_ = -1e18;
   double next_news_ = -1e18;
   std::map<std::string, wire::BlockItem> told_;  // of machines
-  std::map<std::string, uint64_t> handed_;        // of machines that were taken
+  std::map<std::string, uint64_t> handed_;       // of machines that were taken
   std::map<std::string, GivenBack> given_back_;  // though the record still has them here
 };
 
