--- /dev/null
+++ b/include/mosspath/lease/cancelled.h
@@ -0,0 +1,41 @@
+// The cancellations that a controller may have told its users of, and what a leader that has read
+// less needs to hear of them. Pure.
+//
+// Invariant: whatever this process has told, and whatever the process before it may have told, has
+// a revision of at most newest(); of those after listed_from() the ids are here.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "mosspath/wire/vouch_frame.h"
+
+namespace mosspath::lease {
+
+class Cancelled {
+ public:
+  // Keeps at most so many ids: the latest.
+  explicit Cancelled(size_t most) : most_(most) {}
+
+  // The process before this one may have told of any cancellation up to this revision.
+  void MayHaveTold(uint64_t revision);
+  // This one is durable since that revision, and may be told from now on.
+  void Known(const std::string& id, uint64_t revision);
+
+  uint64_t newest() const { return newest_; }
+  uint64_t listed_from() const { return listed_from_; }
+  // For somebody who knows all up to `seen`: the next ones, the earliest first, as many as an
+  // answer may hold.
+  wire::CancelledPart Since(uint64_t seen) const;
+
+ private:
+  const size_t most_;
+  uint64_t newest_ = 0;
+  uint64_t listed_from_ = 0;
+  std::set<std::pair<uint64_t, std::string>> listed_;
+};
+
+}  // namespace mosspath::lease
--- a/include/mosspath/lease/elector.h
+++ b/include/mosspath/lease/elector.h
@@ -1,33 +1,19 @@
-// Leadership over the state service's grants. The leader key hangs on a grant; its version is the
-// token under which the leader commands workers.
+// Leadership over the state service's grants: obtains and renews the grant, campaigns for the
+// leader key, which hangs on it and whose version is the token under which the leader commands
+// workers. What it decides stands in lease/leadership.
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "mosspath/config/settings.h"
-#include "mosspath/lease/reluctance.h"
-#include "mosspath/lease/view.h"
-#include "mosspath/lease/vouching.h"
+#include "mosspath/lease/leadership.h"
 #include "mosspath/state/client.h"
 
 namespace mosspath::lease {
 
-// What the holder of a grant may assume of it. Pure.
-class GrantClock {
- public:
-  GrantClock(double life_s, double margin_s) : usable_s_(life_s - margin_s) {}
-  void Renewed(double sent) { until_ = std::max(until_, sent + usable_s_); }
-  void Lost() { until_ = -1e18; }
-  // The service counts from when it got the renewal, which is after it was sent.
-  bool Holds(double now) const { return now < until_; }
-  double until() const { return until_; }
-
- private:
-  double usable_s_;
-  double until_ = -1e18;
-};
-
 class Elector {
  public:
   struct Handlers {
@@ -41,53 +27,44 @@
   void Start();
   // The mirror's view of the leader key.
   void KeyChanged(const state::Event& e);
-  void KeyReset();
+  void KeyReset() { lead_.Reset(); }
   // `fresh`: there is nothing in it, so nobody has led yet.
   void MirrorLoaded(bool fresh);
+  // The mirror holds all that was written before this moment, which is up to that revision.
+  void Seen(double as_of, uint64_t revision) { lead_.Seen(as_of, revision); }
+  // Taken over from who leads.
+  void Heard(double as_of) { lead_.Heard(as_of); }
 
   // Gives the leadership up at once, for another controller to take.
   void Resign(const char* why);
-  bool MayResign(double now) const { return reluctance_.MayResign(now); }
+  bool MayResign(double now) const { return lead_.MayResign(now); }
 
-  // Entitled to command workers at this moment.
-  bool Entitled(double now) const {
-    return token_ != 0 && view_.Fresh(now) && (clock_.Holds(now) || vouching_.Holds(now));
-  }
-  // The mirror holds all that was written before this moment.
-  void Seen(double as_of) { view_.Current(as_of); }
-  // The leader keeps its grant but hardly learns of changes, while others may.
-  bool OutOfDate(double now) const { return token_ != 0 && clock_.Holds(now) && view_.Aging(now); }
-  // Whether this node may act on what it knows of the jobs, whoever leads.
-  bool ViewFresh(double now) const { return view_.Fresh(now); }
-  double view_age_s(double now) const { return view_.age_s(now); }
-  // The state service has not answered this node for longer than renewals are apart.
-  bool OutOfTouch(double now) const {
-    return now - client_.last_contact() > 1.5 * derived_.renew_s;
-  }
-  // As a peer: promises the leader of this token not to lead for a moment, unless this node can do
-  // without it or knows of another leader.
-  bool Promise(uint64_t token, double now);
-  // As the leader: a round of questions to all peers.
-  uint64_t AskPeers(double now) { return vouching_.Ask(now); }
-  void PeerPromised(uint64_t round, const std::string& peer) {
-    // What any of them had told when it was asked has been seen here, so all promises together are
-    // as good as a look at the state service when they were asked for.
-    if (const auto asked = vouching_.Promised(round, peer)) view_.Current(*asked);
+  // See lease::Leadership.
+  bool Entitled(double now) const { return lead_.Entitled(now); }
+  bool OutOfDate(double now) const { return lead_.OutOfDate(now); }
+  bool ViewFresh(double now) const { return lead_.ViewFresh(now); }
+  double view_age_s(double now) const { return lead_.view_age_s(now); }
+  std::optional<uint64_t> AskPeers(double now) { return lead_.Ask(client_.last_contact(), now); }
+  wire::VouchQuestion QuestionTo(const std::string& peer) const { return lead_.QuestionTo(peer); }
+  bool PeerAnswered(uint64_t round, const std::string& peer, const wire::VouchAnswer& answer,
+                    double now, std::vector<wire::CancelledPart::Entry>& learned) {
+    return lead_.Answered(round, peer, answer, now, learned);
   }
-  uint64_t token() const { return token_; }
-  const std::string& leader() const { return leader_; }
+  Leadership::Promise Asked(const wire::VouchQuestion& question, double now);
+  uint64_t token() const { return lead_.token(); }
+  const std::string& leader() const { return lead_.leader(); }
   // The present leader's, as far as is known; 0: nobody leads.
-  uint64_t leader_token() const { return key_version_; }
+  uint64_t leader_token() const { return lead_.leader_token(); }
   // This node's, 0 while it has none.
-  uint64_t grant() const { return grant_; }
+  uint64_t grant() const { return lead_.grant(); }
   const std::string& key() const { return key_; }
 
  private:
   void Obtain();
   void Renew();
   void Consider();
-  void Campaign();
-  void StepDown(const char* why);
+  void Campaign(uint64_t version);
+  void Told(const Leadership::Lost& lost);
 
   state::Client& client_;
   const config::Derived derived_;
@@ -96,23 +73,10 @@
   Handlers handlers_;
   net::Timer renew_timer_;
   net::Timer campaign_timer_;
-  net::Timer hold_back_;
+  net::Timer look_timer_;
   net::Backoff backoff_;
-  net::Timer promise_timer_;
-  GrantClock clock_;
-  Vouching vouching_;
-  Reluctance reluctance_;
-  View view_;
+  Leadership lead_;
   bool logged_lapse_ = false;
-  bool led_before_ = false;  // somebody has, and may go on by a promise
-  uint64_t grant_ = 0;
-  uint64_t token_ = 0;  // non-zero while the leader key is ours
-  uint64_t key_version_ = 0;
-  uint64_t key_grant_ = 0;
-  std::string leader_;
-  bool mirror_loaded_ = false;
-  bool campaigning_ = false;
-  double hold_back_until_ = -1e18;  // after resigning
 };
 
 }  // namespace mosspath::lease
--- a/include/mosspath/service/job_table.h
+++ b/include/mosspath/service/job_table.h
@@ -10,6 +10,7 @@
 #include <unordered_set>
 
 #include "mosspath/jobs/ledger.h"
+#include "mosspath/lease/cancelled.h"
 #include "mosspath/service/acceptor.h"
 #include "mosspath/service/admission.h"
 #include "mosspath/service/keys.h"
@@ -38,17 +39,29 @@
   // Whether acceptances may share records.
   void Share(bool allowed) { acceptor_.Share(allowed); }
   // Up to this revision, the process before this one may have told of cancellations.
-  void MayHaveTold(uint64_t revision) { newest_cancel_ = std::max(newest_cancel_, revision); }
+  void MayHaveTold(uint64_t revision) { cancelled_.MayHaveTold(revision); }
   // The mirror shows all that was written until then.
-  void Loaded(uint64_t revision) { admission_.gate().Loaded(revision); }
+  void Loaded(uint64_t revision) {
+    ahead_.clear();
+    admission_.gate().Loaded(revision);
+  }
+  // Cancelled since that revision, as another controller says; the mirror need not show it yet.
+  void LearnCancelled(const std::string& id, uint64_t revision);
+  // Called when a job is known to be cancelled ahead of the mirror: its tasks must end now. Until
+  // the mirror shows it, which takes as long as an outage does, the job is live in the ledger only.
+  std::function<void(const std::string& id)> on_ahead;
 
   void Lookup(const std::string& id, std::function<void(Known)> done);
   void Accept(const wire::JobSpec& spec, std::function<void(Accepted)> done);
   void Cancel(const std::string& id, std::function<void(Known)> done);
   void RecordFinal(const std::string& id, Known state);
 
-  // The revision of the last cancellation that this node knows to be durable, and may have told.
-  uint64_t newest_cancel() const { return newest_cancel_; }
+  // What this node knows to be durable, and may have told.
+  const lease::Cancelled& cancelled() const { return cancelled_; }
+  // A job that is accepted and, as far as is known, not over.
+  const jobs::Accepted* FindLive(const std::string& id) const {
+    return ahead_.contains(id) ? nullptr : ledger_.Find(id);
+  }
 
   const std::unordered_map<std::string, jobs::Accepted>& live() const { return ledger_.live(); }
   const jobs::Ledger& ledger() const { return ledger_; }
@@ -64,9 +77,10 @@
   Admission& admission_;
   const config::Derived derived_;
   const size_t max_finals_;
-  uint64_t newest_cancel_ = 0;
+  lease::Cancelled cancelled_;
   jobs::Ledger ledger_{keys::kJobs, keys::kBatches};
   Acceptor acceptor_;
+  std::unordered_set<std::string> ahead_;          // live in the ledger, but known to be cancelled
   std::unordered_map<std::string, Known> finals_;  // a bounded cache
   std::deque<std::string> finals_order_;
   // Asked about, and certainly unknown: the mirror would have told if they had come up since. So
--- a/include/mosspath/service/peers.h
+++ b/include/mosspath/service/peers.h
@@ -31,9 +31,8 @@
   };
 
   Peers(asio::io_context& io, const config::Settings& settings, const config::Derived& derived,
-        lease::Elector& elector, const JobTable& jobs, Admission& admission,
-        const state::Mirror& mirror, Own own, const std::shared_ptr<net::SocketBudget>& sockets,
-        net::OnMalformed on_malformed);
+        lease::Elector& elector, JobTable& jobs, Admission& admission, const state::Mirror& mirror,
+        Own own, const std::shared_ptr<net::SocketBudget>& sockets, net::OnMalformed on_malformed);
   void Start();
 
   // Answers the request if it is between controllers.
@@ -64,12 +63,14 @@
     net::HttpClient told;      // presence and digests
     net::HttpClient vouching;  // nothing else waits here
     bool plans = false;        // it has answered with a plan, so it reads demands
+    bool bad_vouch = false;    // its last answer could not be understood, which was told
   };
+  void OnVouched(uint64_t round, Link& link, const std::string& body);
 
   const config::Settings& settings_;
   const config::Derived derived_;
   lease::Elector& elector_;
-  const JobTable& jobs_;
+  JobTable& jobs_;
   Admission& admission_;
   const state::Mirror& mirror_;
   const Own own_;
@@ -80,7 +81,8 @@
   net::Timer presence_timer_;
   net::Timer digest_timer_;
   net::Timer vouch_timer_;
-  wire::Digest digest_;  // the leader's last word; display only
+  bool bad_question_ = false;  // the last one could not be understood, which was told
+  wire::Digest digest_;        // the leader's last word; display only
   double digest_at_ = -1e18;
   std::map<std::string, place::JobCounts> counts_;  // from it
 };
--- a/rehearsal/controller.cc
+++ b/rehearsal/controller.cc
@@ -8,6 +8,7 @@
 
 const std::string kState = "state";
 const std::string kLeader = "leader";
+constexpr size_t kListedCancellations = 600;
 
 int PackOf(const std::string& key) { return std::stoi(key.substr(key.find('/') + 1)); }
 
@@ -18,10 +19,6 @@
       name_(std::move(name)),
       drift_(drift),
       derived_(world.settings),
-      clock_(derived_.grant_s, derived_.lapse_margin_s),
-      vouching_(derived_.promise_s, world.nodes.size() - 1),
-      reluctance_(2 * derived_.grant_s, world.settings.lease_s),
-      view_(derived_.view_s),
       turns_(world.settings.report_s / 8, 0),
       accept_rate_(world.settings.state_write_rps /
                    (2.0 * static_cast<double>(world.nodes.size()))) {
@@ -38,21 +35,37 @@
       return TakeFrame(frame);
     };
   }
-  world_.on_vouch[name_] = [this](uint64_t token) -> std::optional<World::Vouched> {
+  world_.on_vouch[name_] = [this](const std::string& question) -> std::optional<std::string> {
     if (!alive_) return std::nullopt;
     if (StandsStill()) {  // it answers when nobody waits any more
-      Running([this, token] { Vouch(token); });
+      Running([this, question] { Vouch(question); });
       return std::nullopt;
     }
-    return World::Vouched{Vouch(token), newest_cancel_};
+    return Vouch(question);
   };
   Boot();
 }
 
-bool Controller::Vouch(uint64_t token) {
-  if (token_ != 0 || seen_leader_ != token || !OutOfTouch()) return false;
-  vouching_.Promise(Now());
-  return true;
+std::optional<std::string> Controller::Vouch(const std::string& text) {
+  const wire::VouchQuestion question = wire::DecodeVouchQuestion(text);
+  const auto promise = lead_->Asked(question, last_contact_, Now());
+  Told(promise.lost);
+  if (!promise.understood) return std::nullopt;
+  return wire::Encode(wire::VouchAnswer{promise.promised, cancelled_->Since(question.seen)});
+}
+
+void Controller::Told(const lease::Leadership::Lost& lost) {
+  if (!lost) return;
+  desk_.reset();
+  dispatcher_.reset();
+  admission_->Follows();
+}
+
+void Controller::LearnCancelled(const std::string& id, uint64_t revision) {
+  cancelled_->Known(id, revision);
+  finals_[id] = wire::Stage::kCancelled;
+  if (dispatcher_) dispatcher_->RemoveJob(id, Now());
+  if (holder_) holder_->JobOver(id, Now());
 }
 
 void Controller::Freeze(double for_s) {
@@ -87,23 +100,31 @@
   });
 }
 
+template <typename R>
+void Controller::AskChange(std::function<R()> at_service, std::function<void(R)> back) {
+  const bool late = world_.clock.now() < world_.late_writes_until &&
+                    world_.random.Uniform(0, 1) < world_.late_writes_share;
+  if (!late) return Ask(std::move(at_service), std::move(back));
+  world_.clock.After(world_.random.Uniform(2, 12), [this, at_service = std::move(at_service)] {
+    if (!world_.state.up()) return;
+    at_service();
+    ++world_.late_writes;
+  });
+}
+
 void Controller::Boot() {
   alive_ = true;
   ++life_;
-  clock_ = lease::GrantClock(derived_.grant_s, derived_.lapse_margin_s);
-  vouching_.Lost();
-  vouching_.Promise(Now());
+  lead_.emplace(settings_, derived_, Now());
+  cancelled_.emplace(kListedCancellations);
   last_contact_ = -1e18;
-  grant_ = token_ = 0;
-  seen_leader_ = 0;
-  campaigning_ = offering_ = false;
+  offering_ = false;
   desk_.reset();
   dispatcher_.reset();
   holder_.reset();
   routes_.Clear();
   seen_packs_.clear();
   framing_.clear();
-  leader_node_.clear();
   admission_ = std::make_unique<service::Admission>(settings_);
   accepting_ = {};
   shown_.clear();
@@ -111,8 +132,7 @@
   seen_jobs_ = 0;
   // Nothing that it had read or been told outlives the process.
   polls_ = seen_poll_ = 0;
-  revision_ = newest_cancel_ = 0;
-  view_ = lease::View(derived_.view_s);
+  revision_ = 0;
   SendPresence();
   PumpAccepts();
   Renew();
@@ -139,17 +159,21 @@
   world_.clock.After(derived_.promise_s / 4, [this, life] {
     if (life == life_) Running([this] { AskToVouch(); });
   });
-  if (token_ == 0 || !OutOfTouch()) return;
-  const uint64_t round = vouching_.Ask(Now());
+  const auto round = lead_->Ask(last_contact_, Now());
+  if (!round) return;
   for (const auto& peer : world_.nodes) {
     if (peer == name_) continue;
-    world_.network.Send(name_, peer, [this, life, round, peer, token = token_] {
-      const auto promised = world_.on_vouch[peer](token);
-      if (!promised) return;
-      world_.network.Send(peer, name_, [this, life, round, peer, v = *promised] {
-        if (!v.promised || life != life_ || v.cancelled > revision_) return;
-        Running([this, round, peer] {
-          if (const auto asked = vouching_.Promised(round, peer)) view_.Current(*asked);
+    const std::string question = wire::Encode(lead_->QuestionTo(peer));
+    world_.network.Send(name_, peer, [this, life, round = *round, peer, question] {
+      const auto answer = world_.on_vouch[peer](question);
+      if (!answer) return;
+      world_.network.Send(peer, name_, [this, life, round, peer, text = *answer] {
+        if (life != life_) return;
+        Running([this, round, peer, text] {
+          std::vector<wire::CancelledPart::Entry> learned;
+          lead_->Answered(round, peer, wire::DecodeVouchAnswer(text), Now(), learned);
+          for (const auto& e : learned) LearnCancelled(e.id, e.revision);
+          learned_ += static_cast<int>(learned.size());
         });
       });
     });
@@ -163,25 +187,19 @@
     if (life == life_) Running([this] { Renew(); });
   });
   const double sent = Now();
-  if (grant_ == 0) {
+  if (lead_->grant() == 0) {
     Ask<uint64_t>([this] { return world_.state.Grant(derived_.grant_s); },
                   [this, sent](uint64_t grant) {
-                    if (grant_ != 0) return;
-                    grant_ = grant;
-                    clock_.Renewed(sent);
+                    if (lead_->grant() == 0) lead_->Granted(grant, sent);
                   });
     return;
   }
-  Ask<bool>([this, grant = grant_] { return world_.state.Renew(grant); },
-            [this, sent, grant = grant_](bool ok) {
+  Ask<bool>([this, grant = lead_->grant()] { return world_.state.Renew(grant); },
+            [this, sent, grant = lead_->grant()](bool ok) {
               last_contact_ = std::max(last_contact_, sent);
-              if (grant != grant_) return;
-              if (ok) return clock_.Renewed(sent);
-              clock_.Lost();
-              vouching_.Lost();
-              grant_ = token_ = 0;
-              desk_.reset();
-              dispatcher_.reset();
+              if (grant != lead_->grant()) return;
+              if (ok) return lead_->Renewed(sent);
+              Told(lead_->GrantEnded());
             });
 }
 
@@ -192,51 +210,43 @@
     if (life == life_) Running([this] { Poll(); });
   });
   if (world_.clock.now() < unread_until_) return;
-  Ask<std::shared_ptr<const Pairs>>(
+  Ask<std::shared_ptr<const StateService::View>>(
       [this] { return world_.state.Snapshot(); },
-      [this, poll = ++polls_, sent = Now()](const std::shared_ptr<const Pairs>& pairs) {
+      [this, poll = ++polls_, sent = Now()](const std::shared_ptr<const StateService::View>& view) {
         last_contact_ = std::max(last_contact_, sent);
         if (poll < seen_poll_) return;
         seen_poll_ = poll;
-        view_.Current(sent);
-        See(*pairs);
+        See(*view, sent);
       });
 }
 
-void Controller::See(const Pairs& pairs) {
-  const auto leader = pairs.find(kLeader);
-  seen_leader_ = leader == pairs.end() ? 0 : leader->second.version;
-  leader_node_ = leader == pairs.end() ? "" : leader->second.value.value("node", "");
-  for (const auto& [key, pair] : pairs) {
-    revision_ = std::max(revision_, pair.version);
-    if (key.starts_with("cancelled/")) newest_cancel_ = std::max(newest_cancel_, pair.version);
+void Controller::See(const StateService::View& view, double sent) {
+  const Pairs& pairs = view.pairs;
+  if (revision_ == 0) cancelled_->MayHaveTold(view.revision);  // the life before this one
+  revision_ = std::max(revision_, view.revision);
+  lease::Leadership::Key leads;
+  if (const auto leader = pairs.find(kLeader); leader != pairs.end()) {
+    leads = {leader->second.value.value("node", ""), leader->second.grant, leader->second.version};
   }
+  Told(lead_->Read(leads));
+  Told(lead_->Loaded(pairs.empty()));
   SeeJobs(pairs);
   if (settings_.lease_blocks) SeeBlocks(pairs);
-  const bool ours = grant_ != 0 && leader != pairs.end() && leader->second.grant == grant_;
-  if (!ours) {
-    vouching_.Lost();
-    token_ = 0;
-    desk_.reset();
-    dispatcher_.reset();
+  using Kind = lease::Leadership::Step::Kind;
+  const auto step = lead_->Next(Now());
+  lead_->Seen(sent, revision_);
+  if (step.kind == Kind::kElected) return Elected(token(), pairs);
+  if (token() == 0) {
     if (settings_.lease_blocks) SeeOwnBlock(pairs);
-    if (leader == pairs.end()) return Campaign(0);
-    if (leader->second.value.at("node") == name_) Campaign(leader->second.version);
+    if (step.kind == Kind::kCampaign) Campaign(step.version);
     return;
   }
-  if (token_ != leader->second.version) {
-    if (Now() < vouching_.promised_until()) {
-      if (settings_.lease_blocks) SeeOwnBlock(pairs);
-      return;
-    }
-    return Elected(leader->second.version, pairs);
-  }
   for (const auto& [key, pair] : pairs) {
     if (key.starts_with("progress/")) dispatcher_->SeenProgress(PackOf(key), pair.version);
     if (key.starts_with("machines/")) dispatcher_->SeenMachines(PackOf(key), pair.version);
     if (!key.starts_with("job/")) continue;
     const std::string id = key.substr(4);
-    if (dispatcher_->FindJob(id) == nullptr) {
+    if (dispatcher_->FindJob(id) == nullptr && !finals_.contains(id)) {
       dispatcher_->AddJob(world_.specs[id], pair.version, Now());
     }
   }
@@ -277,7 +287,8 @@
 
 void Controller::SeeOwnBlock(const Pairs& pairs) {
   const auto block = pairs.find("block/" + name_);
-  const bool ours = grant_ != 0 && block != pairs.end() && block->second.grant == grant_;
+  const bool ours =
+      lead_->grant() != 0 && block != pairs.end() && block->second.grant == lead_->grant();
   if (!ours) return holder_.reset();
   const uint64_t lease = block->second.version;
   if (!holder_ || holder_->lease() != lease) {
@@ -288,7 +299,7 @@
         settings_, derived_, own, lease, Now(),
         [this](const std::string& id) -> std::optional<block::Holder::Known> {
           const auto it = live_jobs_.find(id);
-          if (it == live_jobs_.end()) return std::nullopt;
+          if (it == live_jobs_.end() || finals_.contains(id)) return std::nullopt;
           return block::Holder::Known{world_.specs[id], it->second, Now()};
         });
     holder_->dispatcher().SetTypes(world_.types);
@@ -306,22 +317,23 @@
     if (!pairs.contains("job/" + id)) over.push_back(id);
   }
   for (const auto& id : over) holder_->JobOver(id, Now());
-  holder_->LeaderIs(seen_leader_);
+  holder_->LeaderIs(lead_->leader_token());
 }
 
 // The record that offers to hold a block hangs on the grant, so it tells that the node is there.
 void Controller::Offer(const Pairs& pairs) {
   const auto offer = pairs.find("holder/" + name_);
-  if (grant_ == 0 || offering_) return;
-  if (offer != pairs.end() && offer->second.grant == grant_) return;
+  const uint64_t grant = lead_->grant();
+  if (grant == 0 || offering_) return;
+  if (offer != pairs.end() && offer->second.grant == grant) return;
   offering_ = true;
   const uint64_t life = life_;
   world_.clock.After(0.5, [this, life] {
     if (life == life_) offering_ = false;
   });
   const uint64_t seen = offer == pairs.end() ? 0 : offer->second.version;
-  Ask<uint64_t>(
-      [this, seen, grant = grant_] {
+  AskChange<uint64_t>(
+      [this, seen, grant] {
         return world_.state.Commit({{"holder/" + name_, seen}},
                                    {{"holder/" + name_, wire::Json{{"grant", grant}}}}, grant);
       },
@@ -331,12 +343,13 @@
 void Controller::ChangeLeases() {
   for (const auto& c : desk_->Changes(Now())) {
     const uint64_t life = life_;
-    const auto done = [this, life, node = c.node, token = token_](uint64_t revision) {
-      if (life == life_ && token == token_ && desk_) desk_->Written(node, revision != 0, Now());
+    const auto done = [this, life, node = c.node, token = token()](uint64_t revision) {
+      if (life == life_ && token == lead_->token() && desk_)
+        desk_->Written(node, revision != 0, Now());
     };
     world_.clock.After(1.0, [this, done] { Running([done] { done(0); }); });
-    Ask<uint64_t>(
-        [this, c, token = token_]() -> uint64_t {
+    AskChange<uint64_t>(
+        [this, c, token = token()]() -> uint64_t {
           const std::string block = "block/" + c.node;
           if (c.lease != 0) {
             return world_.state.Commit({{kLeader, token}, {block, c.lease}},
@@ -360,8 +373,8 @@
   if (!leading() || !desk_ || !desk_->OnFrame(frame, Now())) return std::nullopt;
   auto answer = desk_->Answer(frame.node);
   if (answer) {
-    answer->view_age_s = view_.age_s(Now());
-    answer->cancelled = newest_cancel_;
+    answer->view_age_s = lead_->view_age_s(Now());
+    answer->cancelled = cancelled_->newest();
   }
   return answer;
 }
@@ -387,7 +400,7 @@
     } else if (holder_ && MayHold() && holder_->OnFrame(*answer, Now()) &&
                answer->view_age_s < wire::kNever && revision_ >= answer->cancelled) {
       // Whatever anybody had told when this was asked, less the leader's own lag, is known here.
-      view_.Current(sent - answer->view_age_s * (1 + 2 * config::kDrift));
+      lead_->Heard(sent - answer->view_age_s * (1 + 2 * config::kDrift));
     }
   };
   world_.clock.After(1.0, [this, life, finish] {
@@ -407,22 +420,21 @@
       SendFrame(node, std::move(frame), true);
     }
   }
-  if (holder_ && MayHold() && !leader_node_.empty() && !framing_.contains(leader_node_)) {
+  if (holder_ && MayHold() && !lead_->leader().empty() && !framing_.contains(lead_->leader())) {
     if (auto frame = holder_->NextFrame(revision_, Now())) {
-      SendFrame(leader_node_, std::move(*frame), false);
+      SendFrame(lead_->leader(), std::move(*frame), false);
     }
   }
 }
 
 void Controller::Campaign(uint64_t version) {
-  if (Now() < hold_back_until_ || campaigning_ || grant_ == 0 || !clock_.Holds(Now())) return;
-  campaigning_ = true;
+  lead_->Campaigning(true);
   const uint64_t life = life_;
   world_.clock.After(0.5, [this, life] {
-    if (life == life_) campaigning_ = false;
+    if (life == life_) lead_->Campaigning(false);
   });
-  Ask<uint64_t>(
-      [this, version, grant = grant_] {
+  AskChange<uint64_t>(
+      [this, version, grant = lead_->grant()] {
         return world_.state.Commit({{kLeader, version}}, {{kLeader, wire::Json{{"node", name_}}}},
                                    grant);
       },
@@ -430,8 +442,6 @@
 }
 
 void Controller::Elected(uint64_t token, const Pairs& pairs) {
-  token_ = token;
-  reluctance_.Elected(Now());
   admission_->Leads(token, Now());
   // One that leads holds no block: what it held is asked what it has, like all that is inherited.
   holder_.reset();
@@ -476,13 +486,13 @@
   if (settings_.lease_blocks) {
     const bool leads = desk_ && leading();
     std::string holder = leads ? desk_->HolderOf(r.machine) : routes_.HolderOf(r.machine);
-    if (holder.empty() && !leads && !dispatcher_) holder = leader_node_;
+    if (holder.empty() && !leads && !dispatcher_) holder = lead_->leader();
     if (!holder.empty() && holder != name_) return answer(421, 0, {}, holder);
   }
   if (!leading()) return answer(dispatcher_ ? 503 : 421, 0, {}, "");
   place::ReportAnswer a = dispatcher_->OnReport(r, Now());
   if (!a.accepted) return answer(503, 0, {}, "");
-  vouched_ += clock_.Holds(Now()) ? 0 : 1;
+  vouched_ += lead_->GrantHolds(Now()) ? 0 : 1;
   answer(200, a.token, a.commands, "");
   SendDirect();
 }
@@ -493,8 +503,8 @@
   world_.clock.After(world_.settings.report_s / 6, [this, life] {
     if (life == life_) Running([this] { Tick(); });
   });
-  const bool out_of_date = dispatcher_ && clock_.Holds(Now()) && view_.Aging(Now());
-  if (out_of_date && !reluctant && reluctance_.MayResign(Now())) return Resign();
+  const bool out_of_date = lead_->OutOfDate(Now());
+  if (out_of_date && !reluctant && lead_->MayResign(Now())) return Resign();
   if (holder_ && MayHold()) {
     holder_->Tick(Now());
     SendDirect();
@@ -502,7 +512,7 @@
   SendFrames();
   if (!leading()) return;
   if (desk_) ChangeLeases();
-  if (dispatcher_->Blind(Now()) && reluctance_.MayResign(Now())) return Resign();
+  if (dispatcher_->Blind(Now()) && lead_->MayResign(Now())) return Resign();
   dispatcher_->Tick(Now());
   WriteCompletions();
   Flush();
@@ -522,10 +532,10 @@
     dispatcher_->MachineDeleting(id);
     world_.network.Send(name_, "cloud", [this, id, life] {
       world_.Delete(id);
-      world_.network.Send("cloud", name_, [this, id, life, token = token_] {
+      world_.network.Send("cloud", name_, [this, id, life, token = token()] {
         if (life != life_) return;
         Running([this, id, token] {
-          if (token == token_ && dispatcher_) dispatcher_->MachineDeleted(id, Now());
+          if (token == lead_->token() && dispatcher_) dispatcher_->MachineDeleted(id, Now());
         });
       });
     });
@@ -533,20 +543,15 @@
 }
 
 void Controller::Resign() {
-  reluctance_.Resigned(Now());
-  clock_.Lost();
-  vouching_.Lost();
-  desk_.reset();
-  dispatcher_.reset();
-  hold_back_until_ = Now() + 2 * derived_.grant_s;
+  const uint64_t grant = lead_->grant();
+  Told(lead_->Resign("", Now()));
   ++resigned_;
   Ask<bool>(
-      [this, grant = grant_] {
+      [this, grant] {
         world_.state.End(grant);
         return true;
       },
       [](bool) {});
-  grant_ = token_ = 0;
 }
 
 void Controller::WriteCompletions() {
@@ -554,8 +559,8 @@
     const uint64_t version = dispatcher_->FindJob(id)->version;
     const uint64_t life = life_;
     auto answered = std::make_shared<bool>(false);
-    const auto finish = [this, id, life, token = token_, answered](uint64_t revision) {
-      if (*answered || life != life_ || token != token_ || !dispatcher_) return;
+    const auto finish = [this, id, life, token = token(), answered](uint64_t revision) {
+      if (*answered || life != life_ || token != lead_->token() || !dispatcher_) return;
       *answered = true;
       if (revision != 0) {
         dispatcher_->RemoveJob(id, Now());
@@ -564,8 +569,8 @@
       }
     };
     world_.clock.After(1.0, [this, finish] { Running([finish] { finish(0); }); });  // no answer
-    Ask<uint64_t>(
-        [this, id, version, token = token_] {
+    AskChange<uint64_t>(
+        [this, id, version, token = token()] {
           const uint64_t revision =
               world_.state.Commit({{kLeader, token}, {"job/" + id, version}},
                                   {{"job/" + id, std::nullopt}, {"final/" + id, wire::Json{}}});
@@ -579,7 +584,7 @@
 void Controller::Flush() {
   const auto records = dispatcher_->TakeRecords(100, 48u << 10);
   if (records.empty()) return;
-  std::vector<std::pair<std::string, uint64_t>> conditions{{kLeader, token_}};
+  std::vector<std::pair<std::string, uint64_t>> conditions{{kLeader, token()}};
   std::vector<std::pair<std::string, std::optional<wire::Json>>> changes;
   const auto put = [&](const std::string& prefix, const state::PackedMap::Written& w) {
     conditions.emplace_back(prefix + std::to_string(w.pack), w.version);
@@ -589,8 +594,8 @@
   for (const auto& w : records.progress) put("progress/", w);
   const uint64_t life = life_;
   auto answered = std::make_shared<bool>(false);
-  const auto finish = [this, life, token = token_, answered](uint64_t revision) {
-    if (*answered || life != life_ || token != token_ || !dispatcher_) return;
+  const auto finish = [this, life, token = token(), answered](uint64_t revision) {
+    if (*answered || life != life_ || token != lead_->token() || !dispatcher_) return;
     *answered = true;
     if (revision != 0) {
       dispatcher_->RecordsWritten(revision, Now());
@@ -599,8 +604,8 @@
     }
   };
   world_.clock.After(1.0, [this, finish] { Running([finish] { finish(0); }); });  // no answer
-  Ask<uint64_t>([this, conditions, changes] { return world_.state.Commit(conditions, changes); },
-                finish);
+  AskChange<uint64_t>(
+      [this, conditions, changes] { return world_.state.Commit(conditions, changes); }, finish);
 }
 
 void Controller::SendDirect() {
@@ -611,7 +616,7 @@
 void Controller::SendOrders(place::Dispatcher& dispatcher, uint64_t lease) {
   for (auto& order : dispatcher.TakeDirect(Now())) {
     const uint64_t life = life_;
-    const uint64_t token = token_;
+    const uint64_t token = lead_->token();
     for (const auto& c : order.commands) {
       held_starts_ += lease != 0 && c.op == wire::Op::kStart ? 1 : 0;
     }
@@ -622,7 +627,7 @@
       *answered = true;
       if (lease != 0) {
         if (holder_ && holder_->lease() == lease) holder_->OnDirect(order, outcome, r, Now());
-      } else if (token == token_ && dispatcher_) {
+      } else if (token == lead_->token() && dispatcher_) {
         dispatcher_->OnDirect(order, outcome, r, Now());
       }
     };
@@ -670,7 +675,9 @@
     const auto stage = prefix == "final/" ? wire::Stage::kDone : wire::Stage::kCancelled;
     for (auto it = pairs.lower_bound(prefix); it != pairs.end() && it->first.starts_with(prefix);
          ++it) {
-      finals_[it->first.substr(prefix.size())] = stage;
+      const std::string id = it->first.substr(prefix.size());
+      finals_[id] = stage;
+      if (stage == wire::Stage::kCancelled) cancelled_->Known(id, it->second.version);
     }
   }
 }
@@ -717,7 +724,7 @@
 void Controller::OnCancel(const std::string& id, const JobAnswer& answer) {
   if (!alive_) return;
   if (StandsStill()) return Running([this, id, answer] { OnCancel(id, answer); });
-  Ask<std::pair<uint64_t, bool>>(
+  AskChange<std::pair<uint64_t, bool>>(
       [this, id]() -> std::pair<uint64_t, bool> {
         const std::string job = "job/" + id;
         const uint64_t version = world_.state.VersionOf(job);
@@ -730,7 +737,7 @@
         // Done, when there was nothing left to cancel.
         const auto stage = r.first != 0 ? wire::Stage::kCancelled : wire::Stage::kDone;
         if (r.first != 0) {
-          ToldCancelled(r.first);
+          LearnCancelled(id, r.first);
           world_.checker.ToldCancelled(id, world_.clock.now());
         }
         world_.network.Send(name_, "users", [answer, stage] { answer(200, stage); });
@@ -771,7 +778,7 @@
     }
   };
   world_.clock.After(2, [this, finish] { Running([finish] { finish(std::nullopt); }); });
-  Ask<std::vector<uint64_t>>(
+  AskChange<std::vector<uint64_t>>(
       [this, jobs] {
         std::vector<uint64_t> revisions;
         for (const Waiting& w : *jobs) {
--- a/rehearsal/controller.h
+++ b/rehearsal/controller.h
@@ -11,7 +11,8 @@
 #include "mosspath/block/desk.h"
 #include "mosspath/block/holder.h"
 #include "mosspath/block/routes.h"
-#include "mosspath/lease/elector.h"
+#include "mosspath/lease/cancelled.h"
+#include "mosspath/lease/leadership.h"
 #include "mosspath/net/stall_watch.h"
 #include "mosspath/place/dispatcher.h"
 #include "mosspath/service/admission.h"
@@ -26,11 +27,11 @@
   const std::string& name() const { return name_; }
   bool leading() const { return dispatcher_ != nullptr && Entitled(); }
   place::Dispatcher* dispatcher() { return dispatcher_.get(); }
-  uint64_t token() const { return token_; }
+  uint64_t token() const { return lead_->token(); }
   block::Holder* holder() { return holder_.get(); }
   bool up() const { return alive_ && !StandsStill(); }
   // It leads, or tries to.
-  bool electing() const { return alive_ && (campaigning_ || token_ != 0); }
+  bool electing() const { return alive_ && (lead_->campaigning() || token() != 0); }
   bool holding() const { return alive_ && holder_ && MayHold(); }
   uint64_t held_starts() const { return held_starts_; }  // starts told as a holder
   bool reluctant = false;  // never resigns, as one that has just done so in vain
@@ -44,9 +45,10 @@
   void OnReport(const wire::Report& r, const World::ReportAnswer& answer);
 
   // --- Users ---
-  // It told a user that a job is cancelled, durable since that revision: so it knows, whatever it
+  // It tells a user that a job is cancelled, durable since that revision: so it knows, whatever it
   // has read. Told by nobody that would know, peers vouched for a leader that had not heard of it.
-  void ToldCancelled(uint64_t revision) { newest_cancel_ = std::max(newest_cancel_, revision); }
+  void LearnCancelled(const std::string& id, uint64_t revision);
+  int learned() const { return learned_; }  // cancellations that peers told it of
   using SubmitAnswer = std::function<void(int status, double retry_after_s)>;
   void OnSubmit(const wire::JobSpec& spec, const SubmitAnswer& answer);
   using JobAnswer = std::function<void(int status, wire::Stage stage)>;
@@ -62,23 +64,24 @@
   using Pairs = std::map<std::string, StateService::Pair>;
 
   double Now() const { return world_.clock.now() * drift_; }
-  bool Entitled() const {
-    return view_.Fresh(Now()) && (clock_.Holds(Now()) || vouching_.Holds(Now()));
-  }
+  bool Entitled() const { return lead_->Entitled(Now()); }
   void Resign();
   bool StandsStill() const { return world_.clock.now() < frozen_until_; }
   // Now, or when it runs again.
   void Running(std::function<void()> f);
-  bool Vouch(uint64_t token);
-  bool OutOfTouch() const { return Now() - last_contact_ > 1.5 * derived_.renew_s; }
+  std::optional<std::string> Vouch(const std::string& question);
   void AskToVouch();
+  void Told(const lease::Leadership::Lost& lost);
   // Runs at the state service, then back here unless this life has ended.
   template <typename R>
   void Ask(std::function<R()> at_service, std::function<void(R)> back);
+  // So does a change; on some days its answer is lost, and it is carried out much later.
+  template <typename R>
+  void AskChange(std::function<R()> at_service, std::function<void(R)> back);
   void Boot();
   void Renew();
   void Poll();
-  void See(const Pairs& pairs);
+  void See(const StateService::View& view, double sent);
   void Campaign(uint64_t version);
   void Elected(uint64_t token, const Pairs& pairs);
   void Tick();
@@ -100,7 +103,7 @@
   std::optional<std::string> TakePresence(const std::string& text);
 
   // --- Blocks ---
-  bool MayHold() const { return view_.Fresh(Now()); }
+  bool MayHold() const { return lead_->ViewFresh(Now()); }
   void SeeBlocks(const Pairs& pairs);
   void SeeOwnBlock(const Pairs& pairs);
   void Offer(const Pairs& pairs);
@@ -115,23 +118,16 @@
   const config::Derived derived_;
   uint64_t life_ = 0;
   bool alive_ = false;
-  lease::GrantClock clock_;
-  lease::Vouching vouching_;
-  lease::Reluctance reluctance_;
-  lease::View view_;
+  std::optional<lease::Leadership> lead_;  // of this life
   double unread_until_ = 0;
   net::TurnClock turns_;
   double frozen_until_ = 0;
   double last_contact_ = -1e18;
-  uint64_t grant_ = 0;
-  uint64_t token_ = 0;
-  uint64_t seen_leader_ = 0;  // the leader key's version as last read
   uint64_t polls_ = 0;
   uint64_t seen_poll_ = 0;
-  bool campaigning_ = false;
-  double hold_back_until_ = -1e18;
   int resigned_ = 0;
   int vouched_ = 0;
+  int learned_ = 0;
   std::unique_ptr<place::Dispatcher> dispatcher_;
   config::Settings settings_;  // with this controller's name and its peers
   std::unique_ptr<block::Desk> desk_;
@@ -139,9 +135,8 @@
   block::Routes routes_;
   std::map<std::string, uint64_t> seen_packs_;
   std::map<std::string, uint64_t> live_jobs_;
-  std::string leader_node_;
   uint64_t revision_ = 0;  // of the state service, as last read
-  uint64_t newest_cancel_ = 0;
+  std::optional<lease::Cancelled> cancelled_;
   bool offering_ = false;
   std::set<std::string> framing_;  // a frame to them is under way
   uint64_t held_starts_ = 0;
--- a/rehearsal/world.cc
+++ b/rehearsal/world.cc
@@ -297,11 +297,10 @@
   return pairs_;
 }
 
-std::shared_ptr<const std::map<std::string, StateService::Pair>> StateService::Snapshot() {
+std::shared_ptr<const StateService::View> StateService::Snapshot() {
   Expire();
-  if (!snapshot_ || snapshot_revision_ != revision_) {
-    snapshot_ = std::make_shared<const std::map<std::string, Pair>>(pairs_);
-    snapshot_revision_ = revision_;
+  if (!snapshot_ || snapshot_->revision != revision_) {
+    snapshot_ = std::make_shared<const View>(View{pairs_, revision_});
   }
   return snapshot_;
 }
--- a/rehearsal/world.h
+++ b/rehearsal/world.h
@@ -173,7 +173,11 @@
                   uint64_t grant = 0);
   const std::map<std::string, Pair>& pairs();
   // As it is now; shared by those who look before the next change.
-  std::shared_ptr<const std::map<std::string, Pair>> Snapshot();
+  struct View {
+    std::map<std::string, Pair> pairs;
+    uint64_t revision = 0;
+  };
+  std::shared_ptr<const View> Snapshot();
   uint64_t VersionOf(const std::string& key);
 
  private:
@@ -188,8 +192,7 @@
   double down_until_ = 0;
   std::map<uint64_t, GrantState> grants_;
   std::map<std::string, Pair> pairs_;
-  std::shared_ptr<const std::map<std::string, Pair>> snapshot_;
-  uint64_t snapshot_revision_ = 0;
+  std::shared_ptr<const View> snapshot_;
 };
 
 class World;
@@ -280,6 +283,11 @@
   void Replace(const std::string& id);
   // Each report is delivered again later, to any controller.
   double copies_until = -1e18;
+  // That share of changes gets no answer from the state service and is carried out 2 to 12 s later,
+  // after newer ones, whatever has become of who sent them.
+  double late_writes_until = -1e18;
+  double late_writes_share = 0;
+  size_t late_writes = 0;  // carried out late
 
   size_t capacity = 8;  // machines that can be up at once
   const config::Settings settings;
@@ -299,12 +307,8 @@
   // How a node takes a report; called at the node.
   std::function<void(const std::string& node, wire::Report, ReportAnswer)> on_report;
   // How a node takes a leader's question whether it vouches; no answer while it is down.
-  // A promise, and the revision of the last cancellation that the node may have told of.
-  struct Vouched {
-    bool promised = false;
-    uint64_t cancelled = 0;
-  };
-  std::map<std::string, std::function<std::optional<Vouched>(uint64_t token)>> on_vouch;
+  std::map<std::string, std::function<std::optional<std::string>(const std::string& question)>>
+      on_vouch;
   // How a node takes a frame about a block; its answer, if it takes it.
   std::map<std::string, std::function<std::optional<wire::BlockFrame>(const std::string& frame)>>
       on_frame;
--- a/src/service/holding.cc
+++ b/src/service/holding.cc
@@ -41,7 +41,7 @@
       frames_(frames),
       holder_(settings, derived, OwnBlock(settings), lease, net::Now(),
               [this](const std::string& id) -> std::optional<block::Holder::Known> {
-                const jobs::Accepted* job = jobs_.ledger().Find(id);
+                const jobs::Accepted* job = jobs_.FindLive(id);
                 if (job == nullptr) return std::nullopt;
                 const double age = std::max(0.0, WallSeconds() - job->submitted_wall_s);
                 return block::Holder::Known{job->spec, job->version, net::Now() - age};
@@ -170,7 +170,7 @@
                  // known here too.
                  if (answer->view_age_s < 1e8 && self->mirror_.loaded() &&
                      self->mirror_.revision() >= answer->cancelled) {
-                   self->elector_.Seen(sent - answer->view_age_s * (1 + 2 * config::kDrift));
+                   self->elector_.Heard(sent - answer->view_age_s * (1 + 2 * config::kDrift));
                  }
                  self->Kick();
                });
--- a/src/service/job_table.cc
+++ b/src/service/job_table.cc
@@ -13,6 +13,8 @@
 
 // Cached final states per megabyte of the memory limit: about a tenth of it.
 constexpr double kFinalsPerMb = 600;
+// Cancellations that peers can be told of: as many as fit a few answers.
+constexpr double kCancelledPerMb = 20;
 
 wire::Json FinalRecord(wire::Stage stage) { return {{"stage", wire::StageName(stage)}}; }
 
@@ -26,6 +28,7 @@
       admission_(admission),
       derived_(derived),
       max_finals_(static_cast<size_t>(kFinalsPerMb * settings.memory_mb)),
+      cancelled_(static_cast<size_t>(kCancelledPerMb * settings.memory_mb)),
       acceptor_(io, state, settings, derived) {}
 
 void JobTable::Reset() {
@@ -43,6 +46,7 @@
     }
     for (const auto& id : change.ended) {
       missing_.erase(id);
+      ahead_.erase(id);
       admission_.gate().Ended(id, net::Now());
     }
     return change;
@@ -64,7 +68,7 @@
   const std::string id = e.key.substr(keys::kFinal.size());
   missing_.erase(id);
   const Known known = FinalOf(*e.value);
-  if (known == Known::kCancelled) newest_cancel_ = std::max(newest_cancel_, e.version);
+  if (known == Known::kCancelled) cancelled_.Known(id, e.version);
   if (known != Known::kUnsure) RecordFinal(id, known);
 }
 
@@ -77,6 +81,13 @@
   }
 }
 
+void JobTable::LearnCancelled(const std::string& id, uint64_t revision) {
+  cancelled_.Known(id, revision);
+  RecordFinal(id, Known::kCancelled);
+  if (ledger_.Find(id) != nullptr) ahead_.insert(id);
+  if (on_ahead) on_ahead(id);
+}
+
 void JobTable::Lookup(const std::string& id, std::function<void(Known)> done) {
   if (auto it = finals_.find(id); it != finals_.end()) return done(it->second);
   mirror_.CatchUp([this, id, done = std::move(done)](bool ok) {
@@ -97,6 +108,8 @@
       }
       if (v.kind == state::Value::Kind::kFailed) return done(Known::kUnsure);
       const Known known = FinalOf(v.value);
+      // Told by this node from now on, though its mirror may not have come that far.
+      if (known == Known::kCancelled) LearnCancelled(id, v.version);
       if (known != Known::kUnsure) RecordFinal(id, known);
       done(known);
     });
@@ -159,8 +172,7 @@
     txn.changes.push_back({keys::Final(id), FinalRecord(wire::Stage::kCancelled)});
     state_.Commit(std::move(txn), left, [this, id, deadline, done](state::TxnResult r) {
       if (r.outcome == state::Outcome::kDone) {
-        newest_cancel_ = std::max(newest_cancel_, r.revision);
-        RecordFinal(id, Known::kCancelled);
+        LearnCancelled(id, r.revision);
         return done(Known::kCancelled);
       }
       if (r.outcome == state::Outcome::kConflict) return TryCancel(id, deadline, done);
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -184,7 +184,7 @@
   auto answer = desk_->Answer(frame.node);
   if (answer) {
     answer->view_age_s = std::max(0.0, elector_.view_age_s(net::Now()));
-    answer->cancelled = jobs_.newest_cancel();
+    answer->cancelled = jobs_.cancelled().newest();
   }
   return answer;
 }
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -52,7 +52,7 @@
                    [this] {
                      if (leader_) leader_->Kick();
                    },
-               .current = [this](double as_of) { elector_.Seen(as_of); }}),
+               .current = [this](double as_of) { elector_.Seen(as_of, mirror_.revision()); }}),
       admission_(settings_),
       jobs_(io, state_, mirror_, admission_, settings_, derived_),
       elector_(
@@ -94,6 +94,10 @@
       frames_(io, settings_, sockets_, on_malformed_),
       offer_timer_(io) {
   state_.on_malformed = cloud_.on_malformed = on_malformed_;
+  jobs_.on_ahead = [this](const std::string& id) {
+    if (leader_) leader_->dispatcher().RemoveJob(id, net::Now());
+    if (holding_) holding_->holder().JobOver(id, net::Now());
+  };
 }
 
 Node::~Node() {
--- a/src/service/peers.cc
+++ b/src/service/peers.cc
@@ -1,9 +1,11 @@
 #include "mosspath/service/peers.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
-#include "mosspath/wire/varint.h"
+#include "mosspath/wire/vouch_frame.h"
 
 namespace mosspath::service {
 namespace {
@@ -18,7 +20,7 @@
 }  // namespace
 
 Peers::Peers(asio::io_context& io, const config::Settings& settings, const config::Derived& derived,
-             lease::Elector& elector, const JobTable& jobs, Admission& admission,
+             lease::Elector& elector, JobTable& jobs, Admission& admission,
              const state::Mirror& mirror, Own own,
              const std::shared_ptr<net::SocketBudget>& sockets, net::OnMalformed on_malformed)
     : settings_(settings),
@@ -161,46 +163,59 @@
 // While the state service is silent, a leader asks all peers to vouch that they won't lead.
 void Peers::AskToVouch() {
   vouch_timer_.After(derived_.promise_s / 4, [this] { AskToVouch(); });
-  const double now = net::Now();
-  if (elector_.token() == 0 || !elector_.OutOfTouch(now) ||
-      jobs_.newest_cancel() > mirror_.revision()) {
-    return;
-  }
-  wire::VarintWriter w;
-  w.Put(elector_.token());
-  const std::string frame = w.Take();
-  const uint64_t round = elector_.AskPeers(now);
+  const auto round = elector_.AskPeers(net::Now());
+  if (!round) return;
   for (auto& l : links_) {
+    const std::string frame = wire::Encode(elector_.QuestionTo(l->node));
     l->vouching.Send("POST", "/peer/v1/vouch", frame, derived_.promise_s,
-                     [this, round, name = l->node](const net::HttpResult& r) {
-                       if (r.status != 200) return;
-                       net::Understood("peer", "vouch", on_malformed_, [&] {
-                         wire::VarintReader reader(r.body);
-                         const bool promised = reader.Get() == 1;
-                         const uint64_t cancelled = reader.Get();
-                         reader.End();
-                         // A cancellation that was told and that we have not seen: its tasks
-                         // must not go on.
-                         if (promised && cancelled <= mirror_.revision()) {
-                           elector_.PeerPromised(round, name);
-                         }
-                       });
+                     [this, round = *round, link = l.get()](const net::HttpResult& r) {
+                       if (r.status == 200) OnVouched(round, *link, r.body);
                      });
   }
 }
 
+void Peers::OnVouched(uint64_t round, Link& link, const std::string& body) {
+  // An answer that can't be understood is no promise, and is told once: the next question comes
+  // soon.
+  const auto malformed = [&](const char* why) {
+    if (!std::exchange(link.bad_vouch, true)) {
+      spdlog::error("peer: {} vouches in a way that can't be: {}", link.node, why);
+    }
+    on_malformed_("peer", "vouch");
+  };
+  wire::VouchAnswer answer;
+  try {
+    answer = wire::DecodeVouchAnswer(body);
+  } catch (const std::exception& e) {
+    return malformed(e.what());
+  }
+  std::vector<wire::CancelledPart::Entry> learned;
+  if (!elector_.PeerAnswered(round, link.node, answer, net::Now(), learned)) {
+    return malformed("a revision above any");
+  }
+  link.bad_vouch = false;
+  for (const auto& e : learned) {
+    spdlog::info("jobs: {} is cancelled, as {} says", e.id, link.node);
+    jobs_.LearnCancelled(e.id, e.revision);
+  }
+}
+
 void Peers::OnVouch(const net::HttpRequest& r, const Responder& respond) {
-  uint64_t token = 0;
-  const bool understood = net::Understood("peer", "vouch", on_malformed_, [&] {
-    wire::VarintReader reader(r.body);
-    token = reader.Get();
-    reader.End();
-  });
-  if (!understood) return respond(Malformed());
-  wire::VarintWriter w;
-  w.Put(uint64_t{elector_.Promise(token, net::Now())});
-  w.Put(jobs_.newest_cancel());
-  respond(Frame(w.Take()));
+  lease::Leadership::Promise promise;
+  wire::VouchQuestion question;
+  try {
+    question = wire::DecodeVouchQuestion(r.body);
+    promise = elector_.Asked(question, net::Now());
+    if (!promise.understood) throw wire::BadMessage("a node, token or revision that can't be");
+  } catch (const std::exception& e) {
+    // A leader asks several times a second: told once, until one is understood again.
+    if (!std::exchange(bad_question_, true)) spdlog::error("peer: malformed vouch: {}", e.what());
+    on_malformed_("peer", "vouch");
+    return respond(Malformed());
+  }
+  bad_question_ = false;
+  respond(Frame(
+      wire::Encode(wire::VouchAnswer{promise.promised, jobs_.cancelled().Since(question.seen)})));
 }
 
 }  // namespace mosspath::service
--- a/tests/report_model_test.cc
+++ b/tests/report_model_test.cc
@@ -3,6 +3,7 @@
 // back. The leaders are the real decisions. The task must never be on both machines.
 #include <gtest/gtest.h>
 #include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
 
 #include <map>
 #include <memory>
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -92,7 +92,7 @@
             world.state.Commit({{"job/" + id, version}},
                                {{"job/" + id, std::nullopt}, {"cancelled/" + id, wire::Json{}}});
         revision != 0) {
-      asked.ToldCancelled(revision);
+      asked.LearnCancelled(id, revision);
       world.checker.ToldCancelled(id, world.clock.now());
     }
   }
