A start that another machine may have taken is sought at the address before the task starts again

Cause: docs/design.md, 16 called an instant accepted: an order goes to an address, its answer is lost, the machine that was meant is deleted before the other one there reports; started again, the task ran twice. Now such a task is withheld until a list of the cloud, late enough to show all that were up when the order left, has nobody else at that address, or each there has shown a token above the order's. It goes on counting towards its team. The rehearsal's cloud lists machines with its usual lag now.

--- a/include/mosspath/lease/leadership.h
+++ b/include/mosspath/lease/leadership.h
@@ -155,8 +155,13 @@
   bool campaigning_ = false;
   double hold_back_until_ = -1e18;    // after resigning
   std::optional<double> free_since_;  // the key, while it holds back
-  // All that each peer may have told up to there is known here, from its own word.
-  std::map<std::string, uint64_t> learned_;
+  // What each peer has said: all that it may have told of up to `upto` but for what is not after
+  // `gap`, which it could not list. That must be read.
+  struct Word {
+    uint64_t upto = 0;
+    uint64_t gap = 0;
+  };
+  std::map<std::string, Word> words_;
 };
 
 }  // namespace mosspath::lease
--- a/include/mosspath/picture/machine.h
+++ b/include/mosspath/picture/machine.h
@@ -20,8 +20,9 @@
   // the worker is unanswered, no report does.
   uint64_t sent_seq = 0;
   uint64_t sent_token = 0;
-  bool direct = false;  // the start went straight to the worker
-  bool unsure = false;  // such a start got no answer: it may be executed until the token rises
+  bool direct = false;   // the start went straight to the worker
+  double direct_at = 0;  // and when
+  bool unsure = false;   // such a start got no answer: it may be executed until the token rises
   wire::TaskState reported = wire::TaskState::kFetching;
   wire::Why why = wire::Why::kNone;
   bool stop = false;
--- a/include/mosspath/picture/picture.h
+++ b/include/mosspath/picture/picture.h
@@ -4,7 +4,9 @@
 // Invariants, from a start that may be sent until the attempt is certainly off its machine
 // (docs/design.md, rule 3):
 //   - a machine's use is the sum of its slots' sizes, and so is a team's;
-//   - a task is pending, done, or placed; it is placed if a slot that is no orphan holds it;
+//   - a task is pending, done, or placed; it is placed if a slot that is no orphan holds it, or it
+//   is
+//     withheld;
 //   - a job's counts by zone are those of its placed tasks;
 //   - a task that another controller has is away, and counts towards its team, until that
 //   controller
@@ -48,7 +50,12 @@
   bool ComeBack(const wire::TaskId& task, uint64_t lease);
   // A second copy of a placed task is there, to be stopped.
   void AddCopy(const wire::TaskId& task, const std::string& machine) { copies_[task] = machine; }
+  bool HasCopy(const wire::TaskId& task) const { return copies_.contains(task); }
   void ForgetCopies(const std::string& job);
+  // The task, placed now, may be on a machine that nobody knows of once it is nowhere else: it goes
+  // on counting towards its team, and waits for nothing, until it is certain that it is not.
+  void Withhold(const wire::TaskId& task);
+  void Release(const wire::TaskId& task);
   // Whether the machine takes new tasks.
   bool Usable(const Machine& m, double now) const;
 
@@ -65,6 +72,12 @@
   void NowhereElse(jobs::Job& job, uint32_t index);
 
   std::map<wire::TaskId, std::string> copies_;
+  struct Size {
+    std::string team;
+    double cpus = 0;
+    double gpus = 0;
+  };
+  std::map<wire::TaskId, Size> withheld_;
   const double silent_s_;
 };
 
--- a/include/mosspath/place/dispatcher.h
+++ b/include/mosspath/place/dispatcher.h
@@ -22,6 +22,7 @@
 #include "mosspath/place/placer.h"
 #include "mosspath/place/records.h"
 #include "mosspath/place/search.h"
+#include "mosspath/place/strays.h"
 #include "mosspath/place/takeover.h"
 #include "mosspath/wire/digest.h"
 #include "mosspath/wire/messages.h"
@@ -77,6 +78,7 @@
   // A whole list of machines, asked for at `asked`.
   void OnListed(const std::vector<wire::ListedMachine>& machines, double asked, double now) {
     hires_.Listed(machines, {&picture_.machines, &picture_.lent}, asked, now);
+    strays_.Listed(machines, asked);
   }
   void Rented(const std::vector<std::string>& ids, const fleet::Wish& offer, double now) {
     hires_.Rented(ids, offer, {&picture_.machines, &picture_.lent}, now);
@@ -182,6 +184,9 @@
   bool Heeds(const wire::Report& r) const;
   void OnStranger(const wire::Report& r, double now);
   void RuleOut(picture::Machine& m);
+  // Nothing is on it any more, though it has not said so itself.
+  void EndAll(picture::Machine& m, double now);
+  void LookForStrays();
   void TaskDone(jobs::Job& job, uint32_t index);
   void Judge(const picture::Machine& m, const jobs::Job& job, Health::Verdict verdict, double now);
   // --- What they are told ---
@@ -222,6 +227,7 @@
   Leased leased_;
   Records records_;
   Hires hires_;
+  Strays strays_;
   const Health health_;
   Placer placer_;
   Tuning tuning_;
--- a/include/mosspath/wire/messages.h
+++ b/include/mosspath/wire/messages.h
@@ -96,6 +96,7 @@
 
 struct ListedMachine {
   std::string id;
+  std::string address;
   std::string type;
   std::string zone;
   bool spot = false;
--- a/rehearsal/addition.cc
+++ b/rehearsal/addition.cc
@@ -54,7 +54,7 @@
   // One of each kind comes round, beside others.
   std::vector<Fault> faults = Draw(seed, 1 + seed % 4, kTroubleFrom, kTroubleUntil);
   for (Fault& f : Draw(seed + 1'000'003, 1, kTroubleFrom, kTroubleUntil)) {
-    f.kind = static_cast<Fault::Kind>(seed / 4 % static_cast<uint64_t>(Fault::Kind::kKinds));
+    f.kind = static_cast<Fault::Kind>(seed / 4 % static_cast<uint64_t>(Fault::Kind::kDrawn));
     faults.push_back(f);
   }
   std::sort(faults.begin(), faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
--- a/rehearsal/addition.h
+++ b/rehearsal/addition.h
@@ -28,8 +28,10 @@
   // Each kind of fault comes about as often.
   static std::vector<Fault> Faults(uint64_t seed);
 
- private:
+ protected:
   static config::Settings Of(uint64_t seed, bool blocks);
+
+ private:
   static std::vector<wire::MachineType> Types(uint64_t seed);
   void Stream(const std::string& job_class, wire::Rank rank, size_t jobs, uint32_t least,
               uint32_t most, double run_s);
--- a/rehearsal/cluster.cc
+++ b/rehearsal/cluster.cc
@@ -11,7 +11,8 @@
     "crash",       "crash-all", "freeze",   "freeze-any",   "cut-state", "cut-workers",
     "cut-peers",   "cut-zone",  "outage",   "slow-state",   "unread",    "die",
     "hang",        "deaf",      "copies",   "only-workers", "bounce",    "bounce-all",
-    "bounce-step", "reborn",    "replaced", "spot-taken",   "capacity"};
+    "bounce-step", "reborn",    "replaced", "spot-taken",   "capacity",  "late-writes",
+    "only-leader", "confirmer"};
 static_assert(std::size(kNames) == static_cast<size_t>(Fault::Kind::kKinds));
 
 // A machine that hears nothing for less than a few leases is hardly told from a slow one.
@@ -64,7 +65,7 @@
   std::vector<Fault> out;
   for (size_t i = 0; i < n; ++i) {
     const auto kind =
-        static_cast<Fault::Kind>(random.Below(static_cast<uint64_t>(Fault::Kind::kKinds)));
+        static_cast<Fault::Kind>(random.Below(static_cast<uint64_t>(Fault::Kind::kDrawn)));
     out.push_back({kind, random.Uniform(from, to), random.Uniform(0.5, 25), random.Below(2) == 0,
                    random.Below(1'000'000)});
   }
@@ -128,6 +129,8 @@
       return f.at + f.for_s + 3 * world.settings.lease_s;
     case Fault::Kind::kDeaf:
       return f.at + kDeafTimes * f.for_s;
+    case Fault::Kind::kLateWrites:
+      return f.at + f.for_s + 12;
     case Fault::Kind::kCrashAll:
       return f.at + 3;
     default:
@@ -217,8 +220,10 @@
     case Fault::Kind::kCopies:
       world.copies_until = world.clock.now() + f.for_s;
       return;
+    case Fault::Kind::kOnlyLeader:
     case Fault::Kind::kOnlyWorkers: {
-      const std::string name = f.pick % 2 == 0 ? leader.name() : any.name();
+      const bool leads = f.kind == Fault::Kind::kOnlyLeader || f.pick % 2 == 0;
+      const std::string name = leads ? leader.name() : any.name();
       net.Cut(name, "state", f.for_s, f.hold);
       for (const auto& other : world.nodes) {
         if (other != name) net.Cut(name, other, f.for_s, f.hold);
@@ -266,6 +271,15 @@
       world.clock.After(f.for_s, [this, taken] { world.capacity += taken; });
       return;
     }
+    case Fault::Kind::kLateWrites:
+      world.late_writes_until = world.clock.now() + f.for_s;
+      world.late_writes_share = 0.2 + 0.1 * static_cast<double>(f.pick % 6);
+      return;
+    case Fault::Kind::kConfirmer:
+      for (auto& c : controllers) {
+        if (c->name() == world.confirmer) c->Crash(AtOnce(f));
+      }
+      return;
     case Fault::Kind::kKinds:
       return;
   }
--- a/rehearsal/cluster.h
+++ b/rehearsal/cluster.h
@@ -17,29 +17,33 @@
 
 struct Fault {
   enum class Kind {
-    kCrash,        // the leader
-    kCrashAll,     // all controllers at once
-    kFreeze,       // the leader stands still
-    kFreezeAny,    // any one
-    kCutState,     // the leader from the state service
-    kCutWorkers,   // the leader from all workers
-    kCutPeers,     // any one from the others
-    kCutZone,      // half of the machines from all controllers
-    kOutage,       // of the state service
-    kSlowState,    // it answers slowly
-    kUnread,       // the leader renews but can't read
-    kDie,          // machines end, with all that is on them
-    kHang,         // machines stand still and go on
-    kDeaf,         // machines' reports arrive, but nothing reaches them
-    kCopies,       // reports are delivered again, up to three leases late
-    kOnlyWorkers,  // one has its workers and users, but no state service and no peers
-    kBounce,       // the leader is back at once
-    kBounceAll,    // all are
-    kBounceStep,   // whoever is about to lead, or leads, after its n-th message
-    kReborn,       // machines come back at once under their names, with nothing on them
-    kReplaced,     // a machine ends, and another is up at its address
-    kSpotTaken,    // half of a zone's cheap machines, without notice
-    kCapacity,     // the cloud has half as many machines to give
+    kCrash,                // the leader
+    kCrashAll,             // all controllers at once
+    kFreeze,               // the leader stands still
+    kFreezeAny,            // any one
+    kCutState,             // the leader from the state service
+    kCutWorkers,           // the leader from all workers
+    kCutPeers,             // any one from the others
+    kCutZone,              // half of the machines from all controllers
+    kOutage,               // of the state service
+    kSlowState,            // it answers slowly
+    kUnread,               // the leader renews but can't read
+    kDie,                  // machines end, with all that is on them
+    kHang,                 // machines stand still and go on
+    kDeaf,                 // machines' reports arrive, but nothing reaches them
+    kCopies,               // reports are delivered again, up to three leases late
+    kOnlyWorkers,          // one has its workers and users, but no state service and no peers
+    kBounce,               // the leader is back at once
+    kBounceAll,            // all are
+    kBounceStep,           // whoever is about to lead, or leads, after its n-th message
+    kReborn,               // machines come back at once under their names, with nothing on them
+    kReplaced,             // a machine ends, and another is up at its address
+    kSpotTaken,            // half of a zone's cheap machines, without notice
+    kCapacity,             // the cloud has half as many machines to give
+    kDrawn,                // all before it are drawn; the others come in meetings only
+    kLateWrites = kDrawn,  // changes get no answer and are carried out later
+    kOnlyLeader,           // as kOnlyWorkers, the leader
+    kConfirmer,            // who last confirmed a cancellation is back at once
     kKinds
   };
   Kind kind = Kind::kCrash;
--- a/rehearsal/controller.cc
+++ b/rehearsal/controller.cc
@@ -138,6 +138,7 @@
   Renew();
   Poll();
   Tick();
+  ListMachines();
   AskToVouch();
 }
 
@@ -172,8 +173,10 @@
         Running([this, round, peer, text] {
           std::vector<wire::CancelledPart::Entry> learned;
           lead_->Answered(round, peer, wire::DecodeVouchAnswer(text), Now(), learned);
-          for (const auto& e : learned) LearnCancelled(e.id, e.revision);
-          learned_ += static_cast<int>(learned.size());
+          for (const auto& e : learned) {
+            learned_ += finals_.contains(e.id) ? 0 : 1;
+            LearnCancelled(e.id, e.revision);
+          }
         });
       });
     });
@@ -442,6 +445,7 @@
 }
 
 void Controller::Elected(uint64_t token, const Pairs& pairs) {
+  world_.elections.push_back(world_.clock.now());
   admission_->Leads(token, Now());
   // One that leads holds no block: what it held is asked what it has, like all that is inherited.
   holder_.reset();
@@ -542,6 +546,23 @@
   }
 }
 
+void Controller::ListMachines() {
+  if (!alive_) return;
+  const uint64_t life = life_;
+  world_.clock.After(derived_.list_s, [this, life] {
+    if (life == life_) Running([this] { ListMachines(); });
+  });
+  if (!leading()) return;
+  world_.network.Send(name_, "cloud", [this, life, token = lead_->token(), asked = Now()] {
+    world_.network.Send("cloud", name_, [this, life, token, asked, listed = world_.List()] {
+      if (life != life_) return;
+      Running([this, token, asked, listed] {
+        if (token == lead_->token() && dispatcher_) dispatcher_->OnListed(listed, asked, Now());
+      });
+    });
+  });
+}
+
 void Controller::Resign() {
   const uint64_t grant = lead_->grant();
   Told(lead_->Resign("", Now()));
@@ -638,8 +659,10 @@
     // held back on it is never for another one that is up under the address later.
     Worker* const w = world_.At(order.address);
     if (w == nullptr) continue;
-    const std::function<void()> arrive = [this, order, finish, w, life = w->life()] {
+    const std::function<void()> arrive = [this, order, finish, w, life = w->life(),
+                                          sent = world_.clock.now()] {
       if (!w->alive() || w->life() != life) return;
+      world_.late_orders += world_.clock.now() - sent > 2 ? 1 : 0;
       const int status = w->Commands(order.token, order.session, order.commands);
       const wire::Report r = w->Answer();
       world_.network.Send(w->id(), name_, [this, status, r, finish] {
@@ -738,6 +761,7 @@
         const auto stage = r.first != 0 ? wire::Stage::kCancelled : wire::Stage::kDone;
         if (r.first != 0) {
           LearnCancelled(id, r.first);
+          world_.confirmer = name_;
           world_.checker.ToldCancelled(id, world_.clock.now());
         }
         world_.network.Send(name_, "users", [answer, stage] { answer(200, stage); });
--- a/rehearsal/controller.h
+++ b/rehearsal/controller.h
@@ -85,6 +85,7 @@
   void Campaign(uint64_t version);
   void Elected(uint64_t token, const Pairs& pairs);
   void Tick();
+  void ListMachines();
   void Flush();
   void WriteCompletions();
   void SendDirect();
--- a/rehearsal/main.cc
+++ b/rehearsal/main.cc
@@ -10,12 +10,13 @@
 #include <mutex>
 #include <thread>
 
-#include "rehearsal/addition.h"
+#include "rehearsal/meetings.h"
 
 namespace {
 
 using mosspath::rehearsal::AdditionDay;
 using mosspath::rehearsal::Fault;
+using mosspath::rehearsal::MeetingDay;
 using mosspath::rehearsal::Outcome;
 using mosspath::rehearsal::OverloadDay;
 
@@ -54,6 +55,28 @@
   std::vector<Outcome> outcomes;
 };
 
+// Prints how often each meeting came about; false if one was played and never did.
+bool AllMet(const std::vector<Outcome>& outcomes) {
+  bool met = true;
+  for (size_t m = 0; m < static_cast<size_t>(MeetingDay::Meeting::kMeetings); ++m) {
+    size_t days = 0;
+    size_t reached = 0;
+    double times = 0;
+    for (const auto& o : outcomes) {
+      const auto meeting = o.figures.end() - 2;  // and then how often
+      if (meeting->second != static_cast<double>(m)) continue;
+      ++days;
+      reached += o.figures.back().second > 0 ? 1 : 0;
+      times += o.figures.back().second;
+    }
+    if (days == 0) continue;
+    std::cout << "meeting " << MeetingDay::Name(static_cast<MeetingDay::Meeting>(m)) << " days "
+              << days << " reached " << reached << " times " << times << '\n';
+    met = met && reached > 0;
+  }
+  return met;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -68,7 +91,8 @@
   bool log = false;
   auto* addition =
       app.add_subcommand("addition", "Troubles of every kind: who is forgotten, starved, late");
-  for (auto* what : {overload, addition}) {
+  auto* meetings = app.add_subcommand("meetings", "Two or three troubles that meet");
+  for (auto* what : {overload, addition, meetings}) {
     what->add_option("--seeds", seeds, "days to play")->check(CLI::Range(1, 1'000'000));
     what->add_option("--first-seed", first, "of the first day");
     what->add_option("--jobs", jobs, "days at once")->check(CLI::Range(1, 256));
@@ -77,7 +101,9 @@
     what->add_flag("--log", log, "prints what the controllers log; for one day");
   }
   CLI11_PARSE(app, argc, argv);
-  const Matter matter = addition->parsed() ? Of<AdditionDay>(blocks) : Of<OverloadDay>(blocks);
+  const Matter matter = addition->parsed()   ? Of<AdditionDay>(blocks)
+                        : meetings->parsed() ? Of<MeetingDay>(blocks)
+                                             : Of<OverloadDay>(blocks);
   spdlog::set_level(log ? spdlog::level::debug : spdlog::level::off);
 
   Totals totals;
@@ -128,5 +154,6 @@
               << name << "_mean " << sum / static_cast<double>(totals.outcomes.size()) << '\n'
               << name << "_most " << most << '\n';
   }
-  return totals.broken == 0 ? 0 : 1;
+  const bool met = !meetings->parsed() || AllMet(totals.outcomes);
+  return totals.broken == 0 && met ? 0 : 1;
 }
--- a/rehearsal/world.cc
+++ b/rehearsal/world.cc
@@ -73,6 +73,7 @@
   Job& job = jobs_[id];
   if (job.done) Breach("went_back: " + id + " was done");
   if (!job.cancelled) job.cancelled = now;
+  cancellations_.push_back(now);
 }
 
 void RuleChecker::Started(const wire::TaskId& task, const std::string& machine,
@@ -320,6 +321,7 @@
       zone_(std::move(zone)),
       spot_(spot),
       address_(id_ + ":1"),
+      born_(world.clock.now()),
       lease_from_(world.clock.now()) {
   node_ = world_.random.Below(world_.nodes.size());
   world_.clock.After(world_.random.Uniform(0, 0.5), [this] { ReportLoop(); });
@@ -376,6 +378,7 @@
   const wire::Report report = Answer();
   if (sent < world_.copies_until) {
     world_.clock.After(world_.random.Uniform(0.5, 3 * world_.settings.lease_s), [this, report] {
+      world_.old_copies += report.session < session_ || report.token < token_ ? 1 : 0;
       world_.on_report(world_.nodes[world_.random.Below(world_.nodes.size())], report,
                        [](int, uint64_t, const std::vector<wire::Command>&, const std::string&) {});
     });
@@ -490,9 +493,11 @@
   const wire::JobSpec& spec = world_.specs[key.first.job];
   if (spec.kind == wire::Kind::kService) return;
   const bool fails = sick || world_.broken.contains(spec.id);
-  const double run = fails ? 0.2
-                     : world_.results.contains(key.first)
-                         ? 0.0
+  const auto set = world_.run_s.find(key.first);
+  const double run = fails                                ? 0.2
+                     : world_.results.contains(key.first) ? 0.0
+                     : set != world_.run_s.end()
+                         ? set->second
                          : spec.estimate_s * world_.random.Uniform(0.5, 1.5);
   const uint64_t turn = t.turn = ++turns_;
   const std::function<void()> end = [this, key, turn, fails] {
@@ -501,6 +506,7 @@
     if (it->second.state != TaskState::kRunning) return;
     if (!fails) {
       world_.results[key.first] = true;
+      world_.done_at[key.first] = world_.clock.now();
       world_.checker.Completed(key.first);
     }
     Exit(key, fails ? Why::kError : Why::kDone);
@@ -551,6 +557,7 @@
 }
 
 void Worker::Die() {
+  if (alive_) died_ = world_.clock.now();
   KillAll();
   alive_ = false;
 }
@@ -600,6 +607,17 @@
   return id;
 }
 
+std::vector<wire::ListedMachine> World::List() const {
+  std::vector<wire::ListedMachine> out;
+  const double then = std::max(0.0, clock.now() - settings.list_lag_s);
+  for (const auto& [id, w] : workers) {
+    if (!w->Had(then)) continue;
+    out.push_back({id, w->address(), w->type(), w->zone(), w->spot(), wire::MachineState::kRunning,
+                   clock.now()});
+  }
+  return out;
+}
+
 Worker* World::At(const std::string& address) {
   for (auto& [id, w] : workers) {
     if (w->alive() && w->address() == address) return w.get();
--- a/rehearsal/world.h
+++ b/rehearsal/world.h
@@ -2,6 +2,7 @@
 // and held-back messages, the state service, the cloud, workers, and a checker of the rules.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -16,6 +17,7 @@
 #include "mosspath/config/settings.h"
 #include "mosspath/wire/block_frame.h"
 #include "mosspath/wire/json.h"
+#include "mosspath/wire/messages.h"
 
 namespace mosspath::rehearsal {
 
@@ -61,6 +63,12 @@
   void Cut(const std::string& a, const std::string& b, double for_s, bool hold);
   // Only what goes this way; the other way is as before.
   void CutOneWay(const std::string& from, const std::string& to, double for_s, bool hold);
+  // Whether messages pass, one way and the other.
+  bool Open(const std::string& a, const std::string& b) const {
+    return Find(cuts_, std::minmax(a, b), clock_.now()) == nullptr &&
+           Find(one_way_, {a, b}, clock_.now()) == nullptr &&
+           Find(one_way_, {b, a}, clock_.now()) == nullptr;
+  }
   // Called with the sender once a message has been sent.
   std::function<void(const std::string& from)> on_sent;
   // Messages to and from the host take this many times as long.
@@ -104,6 +112,8 @@
   // The day is over: who was served by less than half, or began too late. `capacity_cpus`: of all
   // machines.
   void DayOver(double capacity_cpus);
+  // When users were told of cancellations.
+  const std::vector<double>& cancellations() const { return cancellations_; }
   void ToldDone(const std::string& id, double now);
   void ToldCancelled(const std::string& id, double now);
   void Started(const wire::TaskId& task, const std::string& machine, const std::string& type,
@@ -146,6 +156,7 @@
   std::map<std::string, Job> jobs_;
   std::map<std::string, std::pair<double, double>> use_;
   std::vector<std::string> breaches_;
+  std::vector<double> cancellations_;
   size_t starts_ = 0;
   double quiet_from_ = 0;
   double latest_begin_s_ = 0;
@@ -204,6 +215,7 @@
 
   const std::string& id() const { return id_; }
   const std::string& zone() const { return zone_; }
+  const std::string& type() const { return type_.name; }
   bool spot() const { return spot_; }
   wire::Report Answer();  // its report, with the next sequence number
   int Commands(uint64_t token, uint64_t session, const std::vector<wire::Command>& commands);
@@ -215,10 +227,18 @@
   void Reborn(bool next_session);
   void Running(std::function<void()> f);
   bool alive() const { return alive_; }
+  uint64_t session() const { return session_; }
+  size_t running() const {
+    return static_cast<size_t>(std::count_if(tasks_.begin(), tasks_.end(), [](const auto& t) {
+      return t.second.state == wire::TaskState::kRunning;
+    }));
+  }
   const std::string& address() const { return address_; }
   uint64_t life() const { return life_; }  // one more with each rebirth
   void MoveTo(const std::string& address) { address_ = address; }
   bool sick = false;  // fails every task
+  // Whether the cloud had it at that time.
+  bool Had(double then) const { return then >= born_ && (alive_ || then < died_); }
   uint64_t token() const { return token_; }
 
  private:
@@ -247,6 +267,8 @@
   const bool spot_;
   std::string address_;
   bool alive_ = true;
+  const double born_;
+  double died_ = 0;
   double hung_until_ = -1e18;
   uint64_t session_ = 1;
   uint64_t seq_ = 0;
@@ -277,6 +299,8 @@
   // The name of a machine that will be up after its boot time; empty: no capacity.
   std::string Rent(const std::string& type, const std::string& zone, bool spot);
   void Delete(const std::string& id);
+  // The cloud's list, as it was its usual lag ago.
+  std::vector<wire::ListedMachine> List() const;
   // Who is reached there now, if anybody.
   Worker* At(const std::string& address);
   // The machine ends, and another is up under its address at once.
@@ -288,6 +312,13 @@
   double late_writes_until = -1e18;
   double late_writes_share = 0;
   size_t late_writes = 0;  // carried out late
+  // What a day's meeting is told by.
+  size_t old_copies = 0;          // of reports under an earlier session or token
+  size_t late_orders = 0;         // executed seconds after they were sent
+  std::vector<double> elections;  // when each controller was
+  std::string confirmer;          // who last told a user of a cancellation
+  std::map<wire::TaskId, double> done_at;
+  std::map<wire::TaskId, double> run_s;  // of tasks whose time is not drawn by their job's estimate
 
   size_t capacity = 8;  // machines that can be up at once
   const config::Settings settings;
--- a/src/lease/leadership.cc
+++ b/src/lease/leadership.cc
@@ -117,22 +117,21 @@
 }
 
 wire::VouchQuestion Leadership::QuestionTo(const std::string& peer) const {
-  const auto known = learned_.find(peer);
-  return {node_, token_, std::max(revision_, known == learned_.end() ? 0 : known->second)};
+  const auto word = words_.find(peer);
+  return {node_, token_, std::max(revision_, word == words_.end() ? 0 : word->second.upto)};
 }
 
 bool Leadership::Answered(uint64_t round, const std::string& peer, const wire::VouchAnswer& answer,
                           double now, std::vector<wire::CancelledPart::Entry>& learned) {
   const wire::CancelledPart& part = answer.cancelled;
   if (!CanBe(std::max(part.newest, part.upto), now)) return false;
-  uint64_t& told = learned_[peer];
-  uint64_t known = std::max(revision_, told);
+  Word& word = words_[peer];
   learned = part.ids;
-  // A gap: something that the peer may have told, or the process before it, is not listed.
-  if (part.from <= known) known = std::max(known, part.upto);
-  told = std::max(told, known);
+  if (part.from > std::max(revision_, word.upto)) word.gap = part.from;
+  word.upto = std::max(word.upto, part.upto);
   // A cancellation that was told and that is not known here: its tasks must not go on.
-  if (!answer.promised || part.newest > known || !loaded_ || token_ == 0) return true;
+  const bool all = part.newest <= std::max(revision_, word.upto) && word.gap <= revision_;
+  if (!answer.promised || !all || !loaded_ || token_ == 0) return true;
   // What any of them had told when it was asked is known here, so all promises together are as good
   // as a look at the state service when they were asked for.
   if (const auto asked = vouching_.Promised(round, peer)) view_.Current(*asked);
--- a/src/picture/picture.cc
+++ b/src/picture/picture.cc
@@ -65,10 +65,29 @@
       }
     }
   }
+  if (withheld_.contains(task)) return;
   job.tasks[index].phase = Phase::kPending;
   job.pending.insert(index);
 }
 
+void Picture::Withhold(const wire::TaskId& task) {
+  const Job* job = Find(task.job);
+  if (job == nullptr) return;
+  const Size size{job->spec.team, job->spec.cpus, job->spec.gpus};
+  if (withheld_.emplace(task, size).second) teams.Add(size.team, size.cpus, size.gpus);
+}
+
+void Picture::Release(const wire::TaskId& task) {
+  const auto it = withheld_.find(task);
+  if (it == withheld_.end()) return;
+  teams.Remove(it->second.team, it->second.cpus, it->second.gpus);
+  withheld_.erase(it);
+  changed = true;
+  Job* job = Find(task.job);
+  if (job != nullptr && job->tasks[task.index].phase == Phase::kPlaced)
+    NowhereElse(*job, task.index);
+}
+
 void Picture::ForgetCopies(const std::string& job) {
   auto it = copies_.lower_bound({job, 0});
   while (it != copies_.end() && it->first.job == job) it = copies_.erase(it);
--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -35,6 +35,7 @@
       takeover_(settings, derived, now),
       records_(settings, token),
       hires_(settings, derived),
+      strays_(settings),
       health_(settings),
       placer_(settings_, picture_, aims_, takeover_, records_, leased_, token) {}
 
@@ -198,12 +199,38 @@
   auto it = picture_.machines.find(id);
   if (it == picture_.machines.end()) return KnownOrGone(id);
   RuleOut(it->second);
-  picture_.AllGone(it->second, now);
+  EndAll(it->second, now);
   picture_.machines.erase(it);
   records_.DropMachine(id);
   picture_.changed = true;
 }
 
+// What went straight to it and was not answered may be with another machine that has its address:
+// started elsewhere at once, it ran twice.
+void Dispatcher::EndAll(Machine& m, double now) {
+  for (const auto& [key, slot] : m.slots) {
+    const auto& [task, attempt] = key;
+    // A holder hears of no lists; docs/blocks.md tells what that leaves.
+    if (leased_.holds() || slot.orphan || slot.state != Slot::State::kSent || !slot.direct)
+      continue;
+    if (picture_.Find(task.job) == nullptr || picture_.HasCopy(task)) continue;
+    picture_.Withhold(task);
+    strays_.Add(task, {m.id, m.address, slot.sent_token, slot.direct_at});
+  }
+  picture_.AllGone(m, now);
+  LookForStrays();
+}
+
+void Dispatcher::LookForStrays() {
+  if (strays_.empty()) return;
+  std::set<std::string> doubted;
+  for (const auto& task : strays_.RuledOut(picture_, doubted)) picture_.Release(task);
+  for (const auto& id : doubted) {
+    Machine& m = picture_.machines.at(id);
+    if (m.confirmed) Doubt(m);
+  }
+}
+
 // ---------------------------------------------------------------------------- time
 
 void Dispatcher::Tick(double now) {
@@ -218,7 +245,7 @@
       m.lost = true;
       m.confirmed = false;
       m.least_session = m.session + 1;
-      picture_.AllGone(m, now);
+      EndAll(m, now);
       RuleOut(m);
       if (!leased_.holds()) {
         m.in_record = m.recorded = false;
@@ -250,6 +277,7 @@
       }
     }
   }
+  LookForStrays();
   RaiseTokens();
   if (leased_.leads()) HandOverSome(now);
   picture_.changed = true;
--- a/src/place/dispatcher_reports.cc
+++ b/src/place/dispatcher_reports.cc
@@ -192,6 +192,7 @@
         slot.state = Slot::State::kSent;
         slot.sent_seq = picture::kNoReport;
         slot.direct = true;
+        slot.direct_at = now;
         slot.sent_token = m.token;
         commands.push_back({wire::Op::kStart, key.first, key.second, 0});
       } else if (slot.stop && !slot.exited() && now - slot.stop_sent > settings_.report_s) {
@@ -399,14 +400,21 @@
   } else {
     picture_.teams.Unknown();
   }
+  bool found = false;
   if (job == nullptr || job->tasks[t.task.index].phase != Phase::kPending) {
     slot.orphan = true;
     if (job != nullptr) picture_.AddCopy(t.task, m.id);
+    found = job != nullptr;
     picture::Stop(m, slot, 0);
     spdlog::info("place: stopping {} on {}: {}", wire::TaskName(t.task), m.id,
                  job == nullptr ? "its job is over" : "it is elsewhere or done");
   }
   picture_.Occupy(m, key, std::move(slot));
+  if (found) {
+    // What was sought is here.
+    strays_.Forget(t.task);
+    picture_.Release(t.task);
+  }
 }
 
 void Dispatcher::OnExited(Machine& m, const SlotKey& key, Slot& slot, double now) {
--- a/src/wire/json.cc
+++ b/src/wire/json.cc
@@ -340,6 +340,10 @@
     if (!m.is_object()) Bad("a machine is not an object");
     ListedMachine machine;
     machine.id = Text(m, "id");
+    // None: it may have any.
+    if (auto it = m.find("endpoint"); it != m.end() && it->is_string()) {
+      machine.address = it->get<std::string>();
+    }
     machine.type = Text(m, "build");
     machine.zone = Text(m, "shore");
     machine.spot = Flag(m, "loaners");
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -808,7 +808,7 @@
   fresh.LoadMachines(0, wire::Json{{"vm-1", "a"}, {"vm-2", "a"}, {"vm-3", "a"}, {"vm-4", "a"}}, 1);
   std::vector<wire::ListedMachine> listed;
   for (const char* id : {"vm-1", "vm-2", "vm-3", "vm-4"}) {
-    listed.push_back({id, "box", "a", false, wire::MachineState::kRunning, 500});
+    listed.push_back({id, "a:1", "box", "a", false, wire::MachineState::kRunning, 500});
   }
   fresh.OnListed(listed, 100.5, 101);
   EXPECT_TRUE(fresh.PlanFleet(102).give_back.empty());
@@ -1072,10 +1072,12 @@
                     wire::Why::kNone, false}};
   }
   size_t StartsAt(const std::string& id, double now) {
+    while (!d_.TakeRecords(100, 48u << 10).empty()) d_.RecordsWritten(++written_, now);
     return Only(Report(id, now), wire::Op::kStart).size();
   }
   DirectOrder order_;
   wire::Report told_;
+  uint64_t written_ = 12;
 };
 
 TEST_F(StrangerTest, WhatItTookIsNotStartedAgainBeforeItHasEnded) {
@@ -1104,6 +1106,86 @@
   EXPECT_EQ(StartsAt("vm-3", 2), 0u);
 }
 
+// The answer is lost, and the machine that was meant is deleted before the other reports. Started
+// anew at once, the task ran twice: it waits until nobody else can have it.
+TEST_F(StrangerTest, ItIsSoughtAtTheAddressBeforeItIsStartedAgain) {
+  d_.OnDirect(order_, DirectOutcome::kUnsure, nullptr, 0.7);
+  Ready("vm-3", 1);
+  d_.MachineDeleted("vm-1", 1.5);
+  EXPECT_EQ(StartsAt("vm-3", 2), 0u);
+  EXPECT_EQ(d_.Counts("req-1").running, 1u);
+  // A list that may not show all that were up when the order left proves nothing.
+  const wire::ListedMachine third{"vm-3", "vm-3:1", "box", "a", false, wire::MachineState::kRunning,
+                                  9};
+  wire::ListedMachine other = third;
+  other.id = "vm-2";
+  other.address = order_.address;
+  d_.OnListed({third}, 0.5 + settings_.list_lag_s, 5);
+  d_.Tick(5);
+  EXPECT_EQ(StartsAt("vm-3", 5.1), 0u);
+  // The other is there, and not heard of.
+  const double late = 1 + 2 * settings_.list_lag_s;
+  d_.OnListed({third, other}, late, late);
+  d_.Tick(late);
+  EXPECT_EQ(StartsAt("vm-3", late + 0.1), 0u);
+  // Its report tells that it runs there.
+  told_.address = order_.address;
+  EXPECT_TRUE(d_.OnReport(told_, late + 0.2).accepted);
+  d_.OnListed({third}, late + 5, late + 5);
+  d_.Tick(late + 5);
+  EXPECT_EQ(StartsAt("vm-3", late + 5.1), 0u);
+  told_.seq = ++seq_["vm-2"];
+  told_.tasks[0].state = wire::TaskState::kExited;
+  told_.tasks[0].why = wire::Why::kStopped;
+  d_.OnReport(told_, late + 6);
+  EXPECT_EQ(StartsAt("vm-3", late + 7) + StartsAt("vm-2", late + 7), 1u);
+}
+
+// Whoever is there may take it yet, until it has shown a higher token.
+TEST_F(StrangerTest, WhoIsAtTheAddressGetsAHigherTokenFirst) {
+  d_.OnDirect(order_, DirectOutcome::kUnsure, nullptr, 0.7);
+  Ready("vm-3", 1);
+  told_.tasks.clear();
+  told_.address = order_.address;
+  EXPECT_TRUE(d_.OnReport(told_, 1).accepted);
+  d_.MachineDeleted("vm-1", 1.5);
+  const double late = 1 + 2 * settings_.list_lag_s;
+  const auto machine = [&](const char* id, const std::string& address) {
+    return wire::ListedMachine{id, address, "box", "a", false, wire::MachineState::kRunning, 9};
+  };
+  d_.OnListed({machine("vm-3", "vm-3:1"), machine("vm-2", order_.address)}, late, late);
+  d_.Tick(late);
+  EXPECT_EQ(StartsAt("vm-3", late + 0.1), 0u);
+  d_.Tick(late + 0.2);
+  EXPECT_EQ(StartsAt("vm-3", late + 0.2), 0u);
+  d_.Tick(late + 0.3);
+  const uint64_t raised = d_.machines().at("vm-2").token;
+  EXPECT_GT(raised, order_.token);
+  EXPECT_EQ(StartsAt("vm-3", late + 0.4), 0u);
+  wire::Report shown = Written("vm-2", 1);
+  shown.address = order_.address;
+  shown.token = raised;
+  EXPECT_TRUE(d_.OnReport(shown, late + 0.5).accepted);
+  d_.Tick(late + 0.6);
+  EXPECT_EQ(d_.FindJob("req-1")->pending.size() + d_.Counts("req-1").running, 1u);
+  const size_t at_three = StartsAt("vm-3", late + 1);
+  wire::Report again = Written("vm-2", 1);
+  again.address = order_.address;
+  again.token = raised;
+  EXPECT_EQ(at_three + Only(d_.OnReport(again, late + 1), wire::Op::kStart).size(), 1u);
+}
+
+// Nobody else is there, as nearly always: it is started again as soon as a late enough list says
+// so.
+TEST_F(StrangerTest, NobodyElseIsThere) {
+  const double late = 1 + 2 * settings_.list_lag_s;
+  d_.OnDirect(order_, DirectOutcome::kUnsure, nullptr, 0.7);
+  d_.OnListed({}, late, late);
+  Ready("vm-3", late);
+  d_.MachineDeleted("vm-1", late + 1);
+  EXPECT_EQ(StartsAt("vm-3", late + 2), 1u);
+}
+
 // The token that it took was raised for the one that is gone: its reports were refused as those of
 // a later leader's machine.
 TEST_F(StrangerTest, ATokenRaisedForAnotherIsOurs) {
