--- /dev/null
+++ b/tests/job_table_test.cc
@@ -0,0 +1,143 @@
+// What a controller counts as told and as over, whatever way it came to know of it.
+#include "mosspath/service/job_table.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "standins/http_services.h"
+
+namespace mosspath::service {
+namespace {
+
+using Known = JobTable::Known;
+
+class JobTableTest : public ::testing::Test {
+ protected:
+  static config::Settings Settings(const std::string& state) {
+    config::Settings s;
+    s.node = "hut-0";
+    s.nodes = 1;
+    s.state_address = state;
+    s.report_s = 1;
+    s.lease_s = 6;
+    s.cancel_s = 50;
+    s.state_rps = 400;
+    s.state_write_rps = 100;
+    s.value_kb = 8;
+    s.txn_ops = 8;
+    s.cloud_rps = 5;
+    s.memory_mb = 64;
+    return s;
+  }
+  static wire::JobSpec Spec(const std::string& id) {
+    wire::JobSpec s;
+    s.id = id;
+    s.job_class = "work";
+    s.team = "t";
+    s.tasks = 2;
+    s.cpus = 1;
+    s.memory_gb = 1;
+    s.image = "img";
+    return s;
+  }
+
+  JobTableTest()
+      : store_(io_),
+        settings_(Settings(store_.address())),
+        derived_(settings_),
+        client_(io_, settings_, derived_, nullptr),
+        mirror_(io_, client_, derived_, keys::kLive, keys::kAll,
+                {.reset = [this] { jobs_.Reset(); },
+                 .changed =
+                     [this](const state::Event& e) {
+                       if (e.key.starts_with(keys::kFinal)) return jobs_.FinalChanged(e);
+                       if (jobs_.ledger().Holds(e.key)) jobs_.Changed(e);
+                     },
+                 .loaded =
+                     [this] {
+                       jobs_.MayHaveTold(mirror_.revision());
+                       jobs_.Loaded(mirror_.revision());
+                     },
+                 .advanced = [] {},
+                 .current = [](double) {}}),
+        admission_(settings_),
+        jobs_(io_, client_, mirror_, admission_, settings_, derived_) {
+    jobs_.on_ahead = [this](const std::string& id) { ended_.push_back(id); };
+    store_.Put(keys::Job("req-1"), jobs::Ledger::Entry(Spec("req-1"), 0));
+    mirror_.Start();
+    Until([&] { return mirror_.loaded(); });
+  }
+
+  void Until(const std::function<bool()>& condition) {
+    for (int i = 0; i < 2000 && !condition(); ++i) io_.run_for(std::chrono::milliseconds(5));
+    ASSERT_TRUE(condition());
+  }
+  Known Ask(const std::function<void(std::function<void(Known)>)>& what) {
+    std::optional<Known> told;
+    what([&](Known k) { told = k; });
+    Until([&] { return told.has_value(); });
+    return told.value_or(Known::kUnsure);
+  }
+  Known Lookup(const std::string& id) {
+    return Ask([&](auto done) { jobs_.Lookup(id, done); });
+  }
+  Known Cancel(const std::string& id) {
+    return Ask([&](auto done) { jobs_.Cancel(id, done); });
+  }
+
+  asio::io_context io_;
+  standins::HttpState store_;
+  const config::Settings settings_;
+  const config::Derived derived_;
+  state::Client client_;
+  state::Mirror mirror_;
+  Admission admission_;
+  JobTable jobs_;
+  std::vector<std::string> ended_;
+};
+
+// Between the look at the live jobs and the read of its final record a job came, was cancelled, and
+// is told so here: a leader that has not read that must hear of it from this controller.
+TEST_F(JobTableTest, WhatWasReadByItselfCountsAsTold) {
+  uint64_t cancelled = 0;
+  bool told = false;
+  store_.before_single_read = [&] {
+    cancelled =
+        store_.Put(keys::Final("req-2"), {{"stage", wire::StageName(wire::Stage::kCancelled)}});
+  };
+  const uint64_t before = jobs_.cancelled().newest();
+  jobs_.Lookup("req-2", [&](Known k) {
+    told = true;
+    EXPECT_EQ(k, Known::kCancelled);
+    EXPECT_GE(jobs_.cancelled().newest(), cancelled);
+  });
+  Until([&] { return told; });
+  EXPECT_GT(cancelled, before);
+}
+
+// The cancellation is carried out, its answer is lost, and a retry finds it done.
+TEST_F(JobTableTest, ACancellationWithoutAnAnswerIsToldByTheRetry) {
+  store_.lose_changes = true;
+  EXPECT_EQ(Cancel("req-1"), Known::kUnsure);
+  store_.lose_changes = false;
+  EXPECT_EQ(Cancel("req-1"), Known::kCancelled);
+  EXPECT_EQ(jobs_.cancelled().Since(jobs_.cancelled().listed_from()).ids.size(), 1u);
+  EXPECT_EQ(jobs_.FindLive("req-1"), nullptr);
+}
+
+// Its tasks end at once, not when the mirror tells, which takes as long as an outage does.
+TEST_F(JobTableTest, WhatIsCancelledAheadOfTheMirrorIsOver) {
+  ASSERT_NE(jobs_.FindLive("req-1"), nullptr);
+  store_.down = true;
+  const uint64_t revision = mirror_.revision() + 1;
+  jobs_.LearnCancelled("req-1", revision);
+  EXPECT_EQ(ended_, std::vector<std::string>{"req-1"});
+  EXPECT_EQ(jobs_.FindLive("req-1"), nullptr);
+  EXPECT_NE(jobs_.ledger().Find("req-1"), nullptr);
+  EXPECT_EQ(Lookup("req-1"), Known::kCancelled);
+  EXPECT_EQ(jobs_.cancelled().newest(), revision);
+}
+
+}  // namespace
+}  // namespace mosspath::service
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -30,7 +30,7 @@
   Loopback()
       : address_{FreeAddress(io_), FreeAddress(io_), FreeAddress(io_)},
         back_{FreeAddress(io_), FreeAddress(io_), FreeAddress(io_)},
-        state_(io_),
+        state_(io_, kNodes),
         cloud_(io_, {address_[0], address_[1], address_[2]}, 0.3, 0.2) {
     for (int i = 0; i < kNodes; ++i) {
       Start(i);
@@ -56,8 +56,8 @@
       out << "[[seeds]]\nlabel = \"hut-" << k << "\"\ndomain = \"a\"\naddress = \"" << back_[k]
           << "\"\n";
     }
-    out << "[outside]\ncloud = \"" << cloud_.address() << "\"\nstate = \"" << state_.address()
-        << R"("
+    out << "[outside]\ncloud = \"" << cloud_.address() << "\"\nstate = \""
+        << state_.address(static_cast<size_t>(i)) << R"("
 [facts]
 initial_size = 2
 zones = ["a"]
@@ -330,6 +330,40 @@
   EXPECT_TRUE(Until([&] { return Stage(1, "req-000005") == "done"; }));
 }
 
+// The first of the meetings in docs/meetings.md: the state service refuses the leader alone,
+// another controller confirms a cancellation, and then it is down for all. The leader hears of it
+// from the other; these tasks are stopped, and the others go on. (These workers keep what they have
+// whether they are answered or not, so nothing else can stop a task.)
+TEST_F(Loopback, ALeaderThatIsRefusedAloneHearsOfCancellationsInAnOutage) {
+  cloud_.long_jobs = {"req-000020", "req-000021"};
+  for (const auto& id : cloud_.long_jobs) {
+    EXPECT_EQ(Ask(0, "POST", "/api/jobs", Job(id, 2).dump()).first, 201);
+    EXPECT_TRUE(Until([&] { return cloud_.running(id) == 2; }));
+  }
+  int leader = -1;
+  EXPECT_TRUE(Until([&] {
+    const json status = Ask(0, "GET", "/status.json").second;
+    const std::string name = status.is_object() ? status.value("leader", "") : "";
+    leader = name.empty() ? -1 : name.back() - '0';
+    return leader >= 0;
+  }));
+  ASSERT_GE(leader, 0);
+  state_.refused = {static_cast<size_t>(leader)};
+  const int other = (leader + 1) % kNodes;
+  EXPECT_TRUE(Until([&] {
+    return Ask(other, "POST", "/api/jobs/req-000020/cancel").second.value("stage", "") == "aborted";
+  }));
+  state_.down = true;
+  EXPECT_TRUE(Until([&] { return cloud_.running("req-000020") == 0; }));
+  EXPECT_EQ(cloud_.running("req-000021"), 2u);
+  state_.down = false;
+  state_.refused.clear();
+  for (int i = 0; i < kNodes; ++i) {
+    EXPECT_TRUE(Until([&] { return Stage(i, "req-000020") == "aborted"; }));
+    EXPECT_TRUE(Until([&] { return Stage(i, "req-000021") == "running"; }));
+  }
+}
+
 // Runs the program with arguments; returns its exit code and what it printed.
 std::pair<int, std::string> Program(asio::io_context& io, const std::string& arguments) {
   const std::string out = ::testing::TempDir() + "mosspath-out-" + std::to_string(getpid());
--- a/tests/standins/http_services.cc
+++ b/tests/standins/http_services.cc
@@ -21,22 +21,25 @@
 
 // ---------------------------------------------------------------------------- state service
 
-HttpState::HttpState(asio::io_context& io) : io_(io) {
-  server_ = std::make_unique<net::HttpServer>(
-      io, "127.0.0.1:0", net::HttpServer::Options{},
-      [this](const net::HttpRequest& r, const net::HttpServer::Responder& respond) {
-        Handle(r, respond);
-      });
+HttpState::HttpState(asio::io_context& io, size_t addresses) : io_(io) {
+  for (size_t i = 0; i < addresses; ++i) {
+    servers_.push_back(std::make_unique<net::HttpServer>(
+        io, "127.0.0.1:0", net::HttpServer::Options{},
+        [this, i](const net::HttpRequest& r, const net::HttpServer::Responder& respond) {
+          Handle(i, r, respond);
+        }));
+  }
 }
 
-std::string HttpState::address() const { return Loopback(*server_); }
+std::string HttpState::address(size_t i) const { return Loopback(*servers_.at(i)); }
 
-void HttpState::Handle(const net::HttpRequest& r, const net::HttpServer::Responder& respond) {
+void HttpState::Handle(size_t by, const net::HttpRequest& r,
+                       const net::HttpServer::Responder& respond) {
   const auto reply = [&](int status, const json& body) { respond({status, body.dump()}); };
-  if (down) return reply(503, {{"error", "trouble"}});
+  if (Refuses(by)) return reply(503, {{"error", "trouble"}});
   if (r.path == "/multi") return Multi(json::parse(r.body), respond);
   if (r.path == "/follow") {
-    return Follow(Query(r.query, "under"), std::stoull(Query(r.query, "since")),
+    return Follow(by, Query(r.query, "under"), std::stoull(Query(r.query, "since")),
                   std::stoi(Query(r.query, "wait_ms")), respond);
   }
   if (r.path == "/grants") {
@@ -63,6 +66,7 @@
   }
   if (r.path.starts_with("/kv/")) {
     ++single_reads;
+    if (const auto first = std::exchange(before_single_read, nullptr)) first();
     auto it = pairs_.find(r.path.substr(4));
     if (it == pairs_.end()) return reply(404, {{"epoch", revision_}});
     return reply(200, it->second);
@@ -73,6 +77,7 @@
 void HttpState::Arm(uint64_t grant) {
   GrantState& g = grants_[grant];
   g.timer->After(g.life, [this, grant] {
+    if (down) return Arm(grant);
     ++revision_;
     std::vector<std::string> keys;
     for (const auto& [key, pair] : pairs_) {
@@ -117,10 +122,17 @@
       Change(c.at("delete").get<std::string>(), nullptr, 0);
     }
   }
-  respond({200, json{{"epoch", revision_}}.dump()});
+  if (!lose_changes) respond({200, json{{"epoch", revision_}}.dump()});
   Wake();
 }
 
+uint64_t HttpState::Put(const std::string& key, const json& value) {
+  ++revision_;
+  Change(key, &value, 0);
+  Wake();
+  return revision_;
+}
+
 json HttpState::LogOf(const std::string& prefix, uint64_t since) {
   json log = json::array();
   for (const json& e : log_) {
@@ -130,16 +142,16 @@
   return log;
 }
 
-void HttpState::Follow(const std::string& prefix, uint64_t since, int wait_ms,
+void HttpState::Follow(size_t by, const std::string& prefix, uint64_t since, int wait_ms,
                        const net::HttpServer::Responder& respond) {
   json log = LogOf(prefix, since);
   if (!log.empty() || wait_ms == 0) {
     return respond({200, json{{"epoch", revision_}, {"log", log}}.dump()});
   }
   auto w = std::make_shared<Waiting>(
-      Waiting{prefix, since, respond, std::make_unique<net::Timer>(io_), false});
+      Waiting{prefix, since, respond, std::make_unique<net::Timer>(io_), false, by});
   w->timer->After(wait_ms / 1000.0, [this, w] {
-    if (w->done) return;
+    if (w->done || Refuses(w->by)) return;
     w->done = true;
     w->respond({200, json{{"epoch", revision_}, {"log", json::array()}}.dump()});
   });
@@ -149,7 +161,7 @@
 void HttpState::Wake() {
   for (auto& w : waiting_) {
     json log = LogOf(w->prefix, w->since);
-    if (w->done || log.empty()) continue;
+    if (w->done || log.empty() || Refuses(w->by)) continue;
     w->done = true;
     w->timer->Cancel();
     w->respond({200, json{{"epoch", revision_}, {"log", log}}.dump()});
@@ -160,12 +172,13 @@
 // ---------------------------------------------------------------------------- worker
 
 HttpWorker::HttpWorker(asio::io_context& io, std::string id, std::vector<std::string> nodes,
-                       double report_s, double run_s)
+                       double report_s, double run_s, const std::set<std::string>& long_jobs)
     : io_(io),
       id_(std::move(id)),
       nodes_(std::move(nodes)),
       report_s_(report_s),
       run_s_(run_s),
+      long_jobs_(long_jobs),
       report_timer_(io) {
   for (const auto& n : nodes_) {
     clients_.push_back(std::make_unique<net::HttpClient>(io, n, net::HttpClient::Options{}));
@@ -234,6 +247,7 @@
       }
     } else if (!tasks_.contains(key)) {
       tasks_[key] = {{"crate", c["crate"]}, {"try", c["try"]}, {"stage", "running"}};
+      if (long_jobs_.contains(key.substr(0, key.find('/')))) continue;
       timers_.push_back(std::make_unique<net::Timer>(io_));
       timers_.back()->After(run_s_, [this, key] {
         auto it = tasks_.find(key);
@@ -247,6 +261,18 @@
   if (!calls.empty()) Soon();
 }
 
+size_t HttpWorker::running(const std::string& job) const {
+  return static_cast<size_t>(std::count_if(tasks_.begin(), tasks_.end(), [&](const auto& t) {
+    return t.first.starts_with(job + "/") && t.second.at("stage") == "running";
+  }));
+}
+
+size_t HttpCloud::running(const std::string& job) const {
+  size_t n = 0;
+  for (const auto& [id, w] : workers_) n += w->running(job);
+  return n;
+}
+
 // ---------------------------------------------------------------------------- cloud
 
 HttpCloud::HttpCloud(asio::io_context& io, std::vector<std::string> nodes, double report_s,
@@ -297,7 +323,7 @@
       for (int i = 0; i < body.at("count").get<int>() && workers_.size() < 3; ++i) {
         const std::string id = "vm-" + std::to_string(100000 + hires_.size() * 50 + i);
         rigs.push_back(id);
-        workers_[id] = std::make_unique<HttpWorker>(io_, id, nodes_, report_s_, run_s_);
+        workers_[id] = std::make_unique<HttpWorker>(io_, id, nodes_, report_s_, run_s_, long_jobs);
       }
       if (rigs.empty()) return reply(503, {{"error", "no capacity"}});
       hires_[hire] = {{"rigs", rigs}};
--- a/tests/standins/http_services.h
+++ b/tests/standins/http_services.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,10 +18,16 @@
 
 class HttpState {
  public:
-  explicit HttpState(asio::io_context& io);
-  std::string address() const;
-  bool down = false;        // answers 503
-  size_t single_reads = 0;  // of one key
+  // With so many addresses, so that each client can be refused alone.
+  explicit HttpState(asio::io_context& io, size_t addresses = 1);
+  std::string address(size_t i = 0) const;
+  bool down = false;                         // answers 503, and no grant runs out
+  std::set<size_t> refused;                  // who comes by these addresses gets 503
+  size_t single_reads = 0;                   // of one key
+  std::function<void()> before_single_read;  // called ahead of the next one
+  bool lose_changes = false;                 // the answers to changes, which are carried out
+  // Writes it as somebody else would.
+  uint64_t Put(const std::string& key, const nlohmann::json& value);
   const std::map<std::string, nlohmann::json>& pairs() const { return pairs_; }
 
  private:
@@ -29,10 +37,12 @@
     net::HttpServer::Responder respond;
     std::unique_ptr<net::Timer> timer;
     bool done = false;
+    size_t by;
   };
-  void Handle(const net::HttpRequest& r, const net::HttpServer::Responder& respond);
+  bool Refuses(size_t by) const { return down || refused.contains(by); }
+  void Handle(size_t by, const net::HttpRequest& r, const net::HttpServer::Responder& respond);
   void Multi(const nlohmann::json& body, const net::HttpServer::Responder& respond);
-  void Follow(const std::string& prefix, uint64_t since, int wait_ms,
+  void Follow(size_t by, const std::string& prefix, uint64_t since, int wait_ms,
               const net::HttpServer::Responder& respond);
   void Wake();
   void Change(const std::string& key, const nlohmann::json* value, uint64_t grant);
@@ -50,14 +60,16 @@
   };
   std::map<uint64_t, GrantState> grants_;
   std::vector<std::shared_ptr<Waiting>> waiting_;
-  std::unique_ptr<net::HttpServer> server_;
+  std::vector<std::unique_ptr<net::HttpServer>> servers_;
 };
 
 // A worker that runs every task for a moment and reports on any change.
 class HttpWorker {
  public:
+  // `long_jobs`: tasks of these run until they are stopped.
   HttpWorker(asio::io_context& io, std::string id, std::vector<std::string> nodes, double report_s,
-             double run_s);
+             double run_s, const std::set<std::string>& long_jobs);
+  size_t running(const std::string& job) const;
 
  private:
   void Report();
@@ -70,6 +82,7 @@
   const std::vector<std::string> nodes_;
   const double report_s_;
   const double run_s_;
+  const std::set<std::string>& long_jobs_;
   size_t node_ = 0;
   uint64_t token_ = 0;
   uint64_t seq_ = 0;
@@ -86,6 +99,9 @@
   HttpCloud(asio::io_context& io, std::vector<std::string> nodes, double report_s, double run_s);
   std::string address() const;
   size_t rented() const { return workers_.size(); }
+  std::set<std::string> long_jobs;
+  // Tasks of the job that are on any machine.
+  size_t running(const std::string& job) const;
 
  private:
   void Handle(const net::HttpRequest& r, const net::HttpServer::Responder& respond);
