--- a/tests/report_model_test.cc
+++ b/tests/report_model_test.cc
@@ -13,61 +13,14 @@
 
 #include "mosspath/place/dispatcher.h"
 #include "rehearsal/cluster.h"
+#include "standins/plain_worker.h"
 
 namespace mosspath::place {
 namespace {
 
 const wire::TaskId kTask{"req-1", 0};
 
-// What a worker does with what reaches it, as the protocol says. No run ends by itself.
-struct PlainWorker {
-  std::string id;
-  uint64_t session = 1;
-  uint64_t seq = 0;
-  uint64_t token = 0;
-  double lease_from = 0;
-  std::map<uint64_t, wire::TaskState> attempts;
-
-  bool HasTask() const {
-    for (const auto& [attempt, state] : attempts) {
-      if (state != wire::TaskState::kExited) return true;
-    }
-    return false;
-  }
-  wire::Report Report() {
-    wire::Report r;
-    r.machine = id;
-    r.address = id + ":1";
-    r.type = "box";
-    r.zone = "east";
-    r.session = session;
-    r.seq = ++seq;
-    r.token = token;
-    for (const auto& [attempt, state] : attempts) {
-      const auto why = state == wire::TaskState::kExited ? wire::Why::kStopped : wire::Why::kNone;
-      r.tasks.push_back({kTask, attempt, state, why, false});
-    }
-    return r;
-  }
-  void Execute(const std::vector<wire::Command>& commands) {
-    for (const auto& c : commands) {
-      const auto it = attempts.find(c.attempt);
-      if (c.op == wire::Op::kStart && it == attempts.end()) {
-        attempts[c.attempt] = HasTask() ? wire::TaskState::kExited : wire::TaskState::kRunning;
-      } else if (c.op == wire::Op::kStop && it != attempts.end()) {
-        it->second = wire::TaskState::kExited;
-      } else if (c.op == wire::Op::kForget && it != attempts.end()) {
-        attempts.erase(it);
-      }
-    }
-  }
-  void LeaseAt(double now, double lease_s) {
-    if (now - lease_from < lease_s) return;
-    attempts.clear();
-    ++session;
-    lease_from = now;
-  }
-};
+using standins::PlainWorker;
 
 enum class Event {
   kAnswered,     // the machine reports, and is answered
@@ -114,16 +67,16 @@
     Durable();
     return happens;
   }
-  bool Twice() const { return a_.HasTask() && b_.HasTask(); }
-  bool Began() const { return a_.HasTask() || b_.HasTask(); }
+  bool Twice() const { return a_.Has(kTask) && b_.Has(kTask); }
+  bool Began() const { return a_.Has(kTask) || b_.Has(kTask); }
 
   // All that may decide what comes next; times only as far as they matter.
   std::string State() const {
     std::string out = fmt::format("{} {} {}", elections_, held_.size(), first_ ? first_->seq : 0);
     for (const PlainWorker* w : {&a_, &b_}) {
       out += fmt::format("|{} {} {} {:.0f}", w->session, w->seq, w->token, now_ - w->lease_from);
-      for (const auto& [attempt, state] : w->attempts) {
-        out += fmt::format(" {}:{}", attempt, static_cast<int>(state));
+      for (const auto& [key, a] : w->attempts) {
+        out += fmt::format(" {}:{}", key.second, static_cast<int>(a.state));
       }
     }
     for (const auto& [id, m] : leader_->machines()) {
