What was cancelled ahead of the mirror does not come to life with it

Found in re-reading: a controller that has told or learned of a cancellation which its mirror has not come to could be elected, or be shown the acceptance alone, and start the job again just before an outage; it used to be covered by asking nobody to vouch while its own cancellations were unread. JobTable keeps such jobs apart until the mirror has come as far, whatever it shows of them. Test: JobTableTest.WhatIsCancelledBeforeItIsSeenToComeDoesNotCome. The rehearsal's copy had the same fault.

--- a/include/mosspath/service/job_table.h
+++ b/include/mosspath/service/job_table.h
@@ -42,7 +42,7 @@
   void MayHaveTold(uint64_t revision) { cancelled_.MayHaveTold(revision); }
   // The mirror shows all that was written until then.
   void Loaded(uint64_t revision) {
-    ahead_.clear();
+    ForgetAhead();
     admission_.gate().Loaded(revision);
   }
   // Cancelled since that revision, as another controller says; the mirror need not show it yet.
@@ -63,13 +63,18 @@
     return ahead_.contains(id) ? nullptr : ledger_.Find(id);
   }
 
-  const std::unordered_map<std::string, jobs::Accepted>& live() const { return ledger_.live(); }
+  void EachLive(const std::function<void(const std::string& id, const jobs::Accepted&)>& f) const {
+    for (const auto& [id, job] : ledger_.live()) {
+      if (!ahead_.contains(id)) f(id, job);
+    }
+  }
   const jobs::Ledger& ledger() const { return ledger_; }
   // All that was written until then is in the ledger.
   uint64_t revision() const { return mirror_.revision(); }
 
  private:
   Known FinalOf(const wire::Json& value) const;
+  void ForgetAhead();
   void TryCancel(const std::string& id, double deadline, std::function<void(Known)> done);
 
   state::Client& state_;
@@ -80,7 +85,9 @@
   lease::Cancelled cancelled_;
   jobs::Ledger ledger_{keys::kJobs, keys::kBatches};
   Acceptor acceptor_;
-  std::unordered_set<std::string> ahead_;          // live in the ledger, but known to be cancelled
+  // Known to be cancelled since that revision, which the mirror has not come to: whatever it shows
+  // of them by then, they are over. It may not even show yet that they were accepted.
+  std::unordered_map<std::string, uint64_t> ahead_;
   std::unordered_map<std::string, Known> finals_;  // a bounded cache
   std::deque<std::string> finals_order_;
   // Asked about, and certainly unknown: the mirror would have told if they had come up since. So
--- a/include/mosspath/service/peers.h
+++ b/include/mosspath/service/peers.h
@@ -17,7 +17,6 @@
 #include "mosspath/place/dispatcher.h"
 #include "mosspath/service/admission.h"
 #include "mosspath/service/job_table.h"
-#include "mosspath/state/mirror.h"
 #include "mosspath/wire/digest.h"
 
 namespace mosspath::service {
@@ -31,8 +30,8 @@
   };
 
   Peers(asio::io_context& io, const config::Settings& settings, const config::Derived& derived,
-        lease::Elector& elector, JobTable& jobs, Admission& admission, const state::Mirror& mirror,
-        Own own, const std::shared_ptr<net::SocketBudget>& sockets, net::OnMalformed on_malformed);
+        lease::Elector& elector, JobTable& jobs, Admission& admission, Own own,
+        const std::shared_ptr<net::SocketBudget>& sockets, net::OnMalformed on_malformed);
   void Start();
 
   // Answers the request if it is between controllers.
@@ -72,7 +71,6 @@
   lease::Elector& elector_;
   JobTable& jobs_;
   Admission& admission_;
-  const state::Mirror& mirror_;
   const Own own_;
   const std::shared_ptr<net::SocketBudget> sockets_;
   const net::OnMalformed on_malformed_;
--- a/rehearsal/controller.cc
+++ b/rehearsal/controller.cc
@@ -471,7 +471,7 @@
     }
   }
   for (const auto& [key, pair] : pairs) {
-    if (!key.starts_with("job/")) continue;
+    if (!key.starts_with("job/") || finals_.contains(key.substr(4))) continue;
     dispatcher_->AddJob(world_.specs[key.substr(4)], pair.version, Now());
   }
 }
--- a/src/service/holding.cc
+++ b/src/service/holding.cc
@@ -83,7 +83,7 @@
 void Holding::DropEnded() {
   std::vector<std::string> over;
   for (const auto& [id, job] : holder_.dispatcher().jobs()) {
-    if (!jobs_.live().contains(id)) over.push_back(id);
+    if (jobs_.FindLive(id) == nullptr) over.push_back(id);
   }
   for (const auto& id : over) holder_.JobOver(id, net::Now());
 }
--- a/src/service/job_table.cc
+++ b/src/service/job_table.cc
@@ -39,7 +39,7 @@
 
 jobs::Ledger::Change JobTable::Changed(const state::Event& e) {
   try {
-    const auto change = ledger_.Seen(e.key, e.value ? &*e.value : nullptr, e.version);
+    auto change = ledger_.Seen(e.key, e.value ? &*e.value : nullptr, e.version);
     for (const auto& id : change.came) {
       missing_.erase(id);
       admission_.gate().Came(ledger_.Find(id)->spec);
@@ -49,6 +49,8 @@
       ahead_.erase(id);
       admission_.gate().Ended(id, net::Now());
     }
+    // What came to be over before it was seen to come.
+    std::erase_if(change.came, [this](const auto& id) { return ahead_.contains(id); });
     return change;
   } catch (const std::exception& error) {
     spdlog::error("jobs: unreadable record {}: {}", e.key, error.what());
@@ -84,10 +86,15 @@
 void JobTable::LearnCancelled(const std::string& id, uint64_t revision) {
   cancelled_.Known(id, revision);
   RecordFinal(id, Known::kCancelled);
-  if (ledger_.Find(id) != nullptr) ahead_.insert(id);
+  ForgetAhead();
+  if (revision > mirror_.revision()) ahead_[id] = revision;
   if (on_ahead) on_ahead(id);
 }
 
+void JobTable::ForgetAhead() {
+  std::erase_if(ahead_, [this](const auto& a) { return a.second <= mirror_.revision(); });
+}
+
 void JobTable::Lookup(const std::string& id, std::function<void(Known)> done) {
   if (auto it = finals_.find(id); it != finals_.end()) return done(it->second);
   mirror_.CatchUp([this, id, done = std::move(done)](bool ok) {
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -86,7 +86,7 @@
       users_(settings_, jobs_, admission_, mirror_, types_,
              [this](const std::string& id) { return CountsOf(id); }),
       on_malformed_([this](const char* from, const char* what) { metrics_.Malformed(from, what); }),
-      peers_(io, settings_, derived_, elector_, jobs_, admission_, mirror_,
+      peers_(io, settings_, derived_, elector_, jobs_, admission_,
              {.digest = [this] { return OwnDigest(); },
               .presence = [this] { return OwnPresence(); },
               .entitled = [this] { return leader_ && elector_.Entitled(net::Now()); }},
@@ -298,7 +298,7 @@
   if (leader_) {
     std::vector<std::string> over;
     for (const auto& [id, job] : leader_->dispatcher().jobs()) {
-      if (!jobs_.live().contains(id)) over.push_back(id);
+      if (jobs_.FindLive(id) == nullptr) over.push_back(id);
     }
     for (const auto& id : over) leader_->dispatcher().RemoveJob(id, net::Now());
   }
@@ -368,10 +368,10 @@
     }
   }
   const double wall = WallSeconds();
-  for (const auto& [id, job] : jobs_.live()) {
+  jobs_.EachLive([&](const std::string&, const jobs::Accepted& job) {
     d.AddJob(job.spec, job.version, now - std::max(0.0, wall - job.submitted_wall_s));
-  }
-  spdlog::info("takeover: token={} jobs={} settled={}", token, jobs_.live().size(), d.settled());
+  });
+  spdlog::info("takeover: token={} jobs={} settled={}", token, d.jobs().size(), d.settled());
   // Started from the loop: the mirror may be in the middle of a batch.
   asio::post(io_, [leader = leader_] { leader->Start(); });
 }
--- a/src/service/peers.cc
+++ b/src/service/peers.cc
@@ -20,15 +20,13 @@
 }  // namespace
 
 Peers::Peers(asio::io_context& io, const config::Settings& settings, const config::Derived& derived,
-             lease::Elector& elector, JobTable& jobs, Admission& admission,
-             const state::Mirror& mirror, Own own,
+             lease::Elector& elector, JobTable& jobs, Admission& admission, Own own,
              const std::shared_ptr<net::SocketBudget>& sockets, net::OnMalformed on_malformed)
     : settings_(settings),
       derived_(derived),
       elector_(elector),
       jobs_(jobs),
       admission_(admission),
-      mirror_(mirror),
       own_(std::move(own)),
       sockets_(sockets),
       on_malformed_(std::move(on_malformed)),
--- a/tests/job_table_test.cc
+++ b/tests/job_table_test.cc
@@ -52,7 +52,8 @@
                  .changed =
                      [this](const state::Event& e) {
                        if (e.key.starts_with(keys::kFinal)) return jobs_.FinalChanged(e);
-                       if (jobs_.ledger().Holds(e.key)) jobs_.Changed(e);
+                       if (!jobs_.ledger().Holds(e.key)) return;
+                       for (const auto& id : jobs_.Changed(e).came) came_.push_back(id);
                      },
                  .loaded =
                      [this] {
@@ -95,6 +96,7 @@
   Admission admission_;
   JobTable jobs_;
   std::vector<std::string> ended_;
+  std::vector<std::string> came_;
 };
 
 // Between the look at the live jobs and the read of its final record a job came, was cancelled, and
@@ -139,5 +141,18 @@
   EXPECT_EQ(jobs_.cancelled().newest(), revision);
 }
 
+// The mirror shows that it was accepted, and then nothing more for as long as an outage lasts: a
+// leader that took it for live went on with it, although its user had been told.
+TEST_F(JobTableTest, WhatIsCancelledBeforeItIsSeenToComeDoesNotCome) {
+  jobs_.LearnCancelled("req-3", mirror_.revision() + 2);
+  store_.Put(keys::Job("req-3"), jobs::Ledger::Entry(Spec("req-3"), 0));
+  Until([&] { return jobs_.ledger().Find("req-3") != nullptr; });
+  EXPECT_EQ(came_, std::vector<std::string>{"req-1"});
+  EXPECT_EQ(jobs_.FindLive("req-3"), nullptr);
+  std::vector<std::string> live;
+  jobs_.EachLive([&](const std::string& id, const jobs::Accepted&) { live.push_back(id); });
+  EXPECT_EQ(live, std::vector<std::string>{"req-1"});
+}
+
 }  // namespace
 }  // namespace mosspath::service
