--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -192,6 +192,8 @@
 // did not know, promised nothing, and all leases ran out.
 TEST_F(LeadershipTest, ALaterLeaderIsBelieved) {
   Lead(50);
+  EXPECT_FALSE(Promises(50, 10, 20));  // nobody else leads under its own token
+  EXPECT_EQ(l_.token(), 50u);
   const auto promise = l_.Asked({"hut-1", 60, 0}, 10, 20);
   EXPECT_TRUE(promise.promised);
   ASSERT_TRUE(promise.lost);
