--- a/src/place/dispatcher.cc
+++ b/src/place/dispatcher.cc
@@ -214,6 +214,7 @@
     if (leased_.holds() || slot.orphan || slot.state != Slot::State::kSent || !slot.direct)
       continue;
     if (picture_.Find(task.job) == nullptr || picture_.HasCopy(task)) continue;
+    spdlog::debug("place: {} may be with another machine at {}", wire::TaskName(task), m.address);
     picture_.Withhold(task);
     strays_.Add(task, {m.id, m.address, slot.sent_token, slot.direct_at});
   }
@@ -224,7 +225,10 @@
 void Dispatcher::LookForStrays() {
   if (strays_.empty()) return;
   std::set<std::string> doubted;
-  for (const auto& task : strays_.RuledOut(picture_, doubted)) picture_.Release(task);
+  for (const auto& task : strays_.RuledOut(picture_, doubted)) {
+    spdlog::debug("place: {} is with no other machine", wire::TaskName(task));
+    picture_.Release(task);
+  }
   for (const auto& id : doubted) {
     Machine& m = picture_.machines.at(id);
     if (m.confirmed) Doubt(m);
--- a/tests/job_table_test.cc
+++ b/tests/job_table_test.cc
@@ -105,6 +105,7 @@
   uint64_t cancelled = 0;
   bool told = false;
   store_.before_single_read = [&] {
+    store_.down = true;  // nothing else is read any more
     cancelled =
         store_.Put(keys::Final("req-2"), {{"stage", wire::StageName(wire::Stage::kCancelled)}});
   };
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -353,6 +353,8 @@
   EXPECT_TRUE(Until([&] {
     return Ask(other, "POST", "/api/jobs/req-000020/cancel").second.value("stage", "") == "aborted";
   }));
+  // On a slow machine another may be elected meanwhile; somebody must be, when it goes down.
+  EXPECT_TRUE(Until([&] { return state_.pairs().contains("mosspath/live/leader"); }));
   state_.down = true;
   EXPECT_TRUE(Until([&] { return cloud_.running("req-000020") == 0; }));
   EXPECT_EQ(cloud_.running("req-000021"), 2u);
