--- a/tests/job_table_test.cc
+++ b/tests/job_table_test.cc
@@ -119,6 +119,18 @@
   EXPECT_GT(cancelled, before);
 }
 
+// Before its user is told, whatever the mirror shows by then.
+TEST_F(JobTableTest, ItsOwnCancellationCountsAtOnce) {
+  bool told = false;
+  jobs_.Cancel("req-1", [&](Known k) {
+    told = true;
+    EXPECT_EQ(k, Known::kCancelled);
+    EXPECT_GT(jobs_.cancelled().newest(), jobs_.cancelled().listed_from());
+    EXPECT_EQ(ended_, std::vector<std::string>{"req-1"});
+  });
+  Until([&] { return told; });
+}
+
 // The cancellation is carried out, its answer is lost, and a retry finds it done.
 TEST_F(JobTableTest, ACancellationWithoutAnAnswerIsToldByTheRetry) {
   store_.lose_changes = true;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -7,6 +7,7 @@
 
 #include "mosspath/place/dispatcher.h"
 #include "mosspath/place/locality.h"
+#include "rehearsal/cluster.h"
 
 namespace mosspath::place {
 namespace {
@@ -1175,6 +1176,30 @@
   EXPECT_EQ(at_three + Only(d_.OnReport(again, late + 1), wire::Op::kStart).size(), 1u);
 }
 
+// It may be running, so its team's limit counts it, also when its job is over.
+TEST(Withheld, CountsTowardsItsTeam) {
+  const config::Settings settings = rehearsal::SmallSettings();  // "tight" may use 10 CPUs
+  picture::Picture p(settings, config::Derived(settings));
+  wire::JobSpec spec;
+  spec.id = "req-1";
+  spec.team = "tight";
+  spec.tasks = 9;
+  spec.cpus = 2;
+  const jobs::Job other(spec, 1, 0);
+  p.jobs[spec.id] = std::make_unique<jobs::Job>(spec, 1, 0);
+  EXPECT_EQ(p.teams.Room(other, true), 5u);
+  p.Withhold({spec.id, 0});
+  p.Withhold({spec.id, 0});
+  p.Withhold({spec.id, 1});
+  EXPECT_EQ(p.teams.Room(other, true), 3u);
+  p.Release({spec.id, 0});
+  EXPECT_EQ(p.teams.Room(other, true), 4u);
+  p.jobs.clear();
+  EXPECT_EQ(p.teams.Room(other, true), 4u);
+  p.Release({spec.id, 1});
+  EXPECT_EQ(p.teams.Room(other, true), 5u);
+}
+
 // Nobody else is there, as nearly always: it is started again as soon as a late enough list says
 // so.
 TEST_F(StrangerTest, NobodyElseIsThere) {
