--- a/tests/acceptor_test.cc
+++ b/tests/acceptor_test.cc
@@ -7,42 +7,20 @@
 
 #include "mosspath/service/keys.h"
 #include "standins/http_services.h"
+#include "standins/one_controller.h"
 
 namespace mosspath::service {
 namespace {
 
 class AcceptorTest : public ::testing::Test {
  protected:
-  static config::Settings Settings(const std::string& state) {
-    config::Settings s;
-    s.node = "hut-0";
-    s.nodes = 1;
-    s.state_address = state;
-    s.report_s = 1;
-    s.lease_s = 24;
-    s.cancel_s = 50;
-    s.state_rps = 400;
-    s.state_write_rps = 30;
-    s.value_kb = 8;
-    s.txn_ops = 8;
-    s.cloud_rps = 5;
-    return s;
-  }
   static wire::JobSpec Spec(int i) {
-    wire::JobSpec s;
-    s.id = "req-" + std::to_string(100000 + i);
-    s.job_class = "work";
-    s.team = "t";
-    s.tasks = 10;
-    s.cpus = 1;
-    s.memory_gb = 1;
-    s.image = "img";
-    return s;
+    return standins::SmallJob("req-" + std::to_string(100000 + i), 10);
   }
 
   AcceptorTest()
       : store_(io_),
-        settings_(Settings(store_.address())),
+        settings_(standins::OneController(store_.address())),
         derived_(settings_),
         client_(io_, settings_, derived_, nullptr),
         acceptor_(io_, client_, settings_, derived_) {}
--- a/tests/job_table_test.cc
+++ b/tests/job_table_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 
 #include "standins/http_services.h"
+#include "standins/one_controller.h"
 
 namespace mosspath::service {
 namespace {
@@ -15,32 +16,12 @@
 class JobTableTest : public ::testing::Test {
  protected:
   static config::Settings Settings(const std::string& state) {
-    config::Settings s;
-    s.node = "hut-0";
-    s.nodes = 1;
-    s.state_address = state;
-    s.report_s = 1;
-    s.lease_s = 6;
-    s.cancel_s = 50;
-    s.state_rps = 400;
-    s.state_write_rps = 100;
-    s.value_kb = 8;
-    s.txn_ops = 8;
-    s.cloud_rps = 5;
+    config::Settings s = standins::OneController(state);
+    s.lease_s = 6;  // calls time out soon
     s.memory_mb = 64;
     return s;
   }
-  static wire::JobSpec Spec(const std::string& id) {
-    wire::JobSpec s;
-    s.id = id;
-    s.job_class = "work";
-    s.team = "t";
-    s.tasks = 2;
-    s.cpus = 1;
-    s.memory_gb = 1;
-    s.image = "img";
-    return s;
-  }
+  static wire::JobSpec Spec(const std::string& id) { return standins::SmallJob(id, 2); }
 
   JobTableTest()
       : store_(io_),
