--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -263,7 +263,7 @@
 TEST(Cancelled, AnAnswerHoldsSoMany) {
   Cancelled c(4 * wire::kMostCancelledIds);
   const uint64_t n = 2 * wire::kMostCancelledIds + 7;
-  for (uint64_t i = 1; i <= n; ++i) c.Known("req-" + std::to_string(i), (i + 1) / 2);
+  for (uint64_t i = 1; i <= n; ++i) c.Known("req-" + std::to_string(i), (i + 2) / 2);
   std::set<std::string> seen;
   uint64_t from = 0;
   int parts = 0;
