--- a/include/mosspath/lease/cancelled.h
+++ b/include/mosspath/lease/cancelled.h
@@ -27,7 +27,7 @@
 
   uint64_t newest() const { return newest_; }
   uint64_t listed_from() const { return listed_from_; }
-  // For somebody who knows all up to `seen`: the next ones, the earliest first, as many as an
+  // For somebody who knows all up to `seen`: what came since, the earliest first, as many as an
   // answer may hold.
   wire::CancelledPart Since(uint64_t seen) const;
 
--- a/src/lease/cancelled.cc
+++ b/src/lease/cancelled.cc
@@ -28,7 +28,7 @@
   part.upto = std::max(part.from, newest_);
   for (auto it = listed_.lower_bound({part.from + 1, ""}); it != listed_.end(); ++it) {
     if (part.ids.size() == wire::kMostCancelledIds) {
-      // The rest comes with the next answer; nothing is said of what shares its revision.
+      // The list ends before it, and says so; nothing is said of what shares its revision.
       const uint64_t next = it->first;
       std::erase_if(part.ids, [&](const auto& e) { return e.revision >= next; });
       part.upto = next - 1;
