Stop the tasks of cancelled jobs in answers under a new token

Cause: an answer to a heartbeat under an older token gave the agent the present token, renewed its lease and held no command, whatever the heartbeat listed. A right was renewed on one path without the check that goes with it on the other: under the present token the list is reconciled and the answer has all stops. Agents are answered like this by a new leader, and by the same leader after it raised the machine's token. If the machine is then cut off, its tasks live for an agent lease more, past the deadline of what was cancelled before the answer.

Fix: such an answer has a stop for each listed attempt of no live job, and for each attempt known here that is to be stopped. Nothing else is concluded from the list, and the lease is renewed as before. A stop is harmless if the heartbeat was a late copy: attempts are never reused.

--- a/include/mosspath/cluster/cluster_state.h
+++ b/include/mosspath/cluster/cluster_state.h
@@ -40,6 +40,9 @@
 
   jobs::Job* FindJob(const std::string& id);
   const jobs::Job* FindJob(const std::string& id) const;
+  // Returns the live job that the task belongs to, or null if the job has ended or has no such
+  // task.
+  jobs::Job* FindJobOf(const wire::TaskId& task);
 
   // Adds an allocation and charges its resources to the machine and to the team.
   void Allocate(Machine& machine, const AllocationKey& key, Allocation allocation);
--- a/include/mosspath/scheduler/command_planner.h
+++ b/include/mosspath/scheduler/command_planner.h
@@ -23,6 +23,10 @@
   // Returns the commands for the answer to the machine's periodic heartbeat, and marks their starts
   // as sent.
   std::vector<wire::Command> TakeHeartbeatCommands(cluster::Machine& machine, double now);
+  // Returns the stops for the answer to a periodic heartbeat that does not carry the machine's
+  // present token: the requested stops, and a stop for each listed attempt whose job has ended.
+  std::vector<wire::Command> StopsUnderNewToken(const cluster::Machine& machine,
+                                                const std::vector<wire::TaskStatus>& listed) const;
   // Returns the probes that are due, and the commands that can be sent directly instead of with the
   // answers to the machines' next heartbeats. Returns at most `max_batches` batches, and none for a
   // machine with a batch in flight.
--- a/src/cluster/cluster_state.cc
+++ b/src/cluster/cluster_state.cc
@@ -18,6 +18,11 @@
   return it == jobs.end() ? nullptr : it->second.get();
 }
 
+Job* ClusterState::FindJobOf(const wire::TaskId& task) {
+  Job* job = FindJob(task.job);
+  return job != nullptr && task.index < job->spec.tasks ? job : nullptr;
+}
+
 void ClusterState::Allocate(Machine& machine, const AllocationKey& key, Allocation allocation) {
   machine.used_cpus += allocation.cpus;
   machine.used_gpus += allocation.gpus;
--- a/src/scheduler/command_planner.cc
+++ b/src/scheduler/command_planner.cc
@@ -23,6 +23,12 @@
 // The value of Machine::ignored_answers_token while no answer is suspected to be without effect.
 constexpr uint64_t kNoIgnoredAnswersToken = 0;
 
+// Whether the attempt may be on the machine and is to be stopped.
+bool AwaitsStop(const Allocation& allocation) {
+  return allocation.stop_requested && !allocation.exited() &&
+         allocation.state != Allocation::State::kPlanned;
+}
+
 bool IsUnconfirmedStart(const Allocation& allocation) {
   return allocation.start_unconfirmed && allocation.state == Allocation::State::kStartSent;
 }
@@ -55,7 +61,7 @@
       if (AwaitsDurableCompletion(task, allocation)) continue;
       allocation.forget_sent_sequence = machine.heartbeat_sequence;
       commands.push_back({wire::CommandType::kForget, task, attempt, 0});
-    } else if (allocation.stop_requested && allocation.state != Allocation::State::kPlanned) {
+    } else if (AwaitsStop(allocation)) {
       allocation.stop_sent_at = now;
       commands.push_back({wire::CommandType::kStop, task, attempt, allocation.grace_s});
     }
@@ -71,6 +77,25 @@
   return commands;
 }
 
+// Does not mark the stops as sent: the heartbeat may be delayed, and then the agent ignores the
+// answer. A stop of an attempt that is not on the machine has no effect.
+std::vector<wire::Command> CommandPlanner::StopsUnderNewToken(
+    const Machine& machine, const std::vector<wire::TaskStatus>& listed) const {
+  std::vector<wire::Command> stops;
+  for (const auto& [key, allocation] : machine.allocations) {
+    if (!AwaitsStop(allocation)) continue;
+    stops.push_back({wire::CommandType::kStop, key.first, key.second, allocation.grace_s});
+  }
+  for (const wire::TaskStatus& status : listed) {
+    if (status.state == wire::TaskState::kExited) continue;
+    if (machine.allocations.contains({status.task, status.attempt})) continue;
+    if (state_.cluster.FindJobOf(status.task) != nullptr) continue;
+    stops.push_back({wire::CommandType::kStop, status.task, status.attempt, /*grace_s=*/0});
+  }
+  if (stops.size() > kMaxCommands) stops.resize(kMaxCommands);
+  return stops;
+}
+
 // Whether the agent must keep a successful attempt because its completion is not durable yet.
 bool CommandPlanner::AwaitsDurableCompletion(const wire::TaskId& task,
                                              const Allocation& allocation) const {
--- a/src/scheduler/heartbeat_handler.cc
+++ b/src/scheduler/heartbeat_handler.cc
@@ -44,12 +44,13 @@
   machine.lease_renewed_at = now;
   machine.lost = false;
   // A heartbeat under an older token may have been delayed, or an earlier leader's answer to the
-  // agent may still be in flight, so the listed tasks are ignored. The heartbeat is no
+  // agent may still be in flight, so no state is updated from the listed tasks. The heartbeat is no
   // evidence that answers reach the agent either. When such a heartbeat was treated as contact, a
   // machine that received no answers blocked a recovery for as long as its heartbeats arrived.
+  // The answer renews the agent's lease, so it must stop the tasks of jobs that have ended.
   if (heartbeat.fencing_token != machine.fencing_token) {
     if (machine.token_unconfirmed_since <= 0) machine.token_unconfirmed_since = now;
-    return {true, machine.fencing_token, {}};
+    return {true, machine.fencing_token, commands_.StopsUnderNewToken(machine, heartbeat.tasks)};
   }
   machine.missing_from_list = false;
   OnReclaimNotice(machine, heartbeat, now);
--- a/src/scheduler/reconciler.cc
+++ b/src/scheduler/reconciler.cc
@@ -136,8 +136,7 @@
 // Adds an attempt that this scheduler did not start: an earlier leader started it, or its job is
 // over.
 void Reconciler::RecoverAllocation(Machine& machine, const wire::TaskStatus& status, double now) {
-  Job* job = state_.cluster.FindJob(status.task.job);
-  if (job != nullptr && status.task.index >= job->spec.tasks) job = nullptr;
+  Job* job = state_.cluster.FindJobOf(status.task);
   Allocation allocation;
   allocation.state = Allocation::State::kReported;
   allocation.reported = status.state;
