Simulate machines that receive one answer between two partitions, around cancellations

The new fault kBriefContact cuts machines off for nearly an agent lease, lets one answer through and cuts them off again; the scenario (simulate contact) puts it around cancellations, twice, with the leader restarted in two of three rounds. Messages are dropped or held by turns.

--- a/simulation/compound_fault_scenario.cc
+++ b/simulation/compound_fault_scenario.cc
@@ -23,13 +23,23 @@
 }  // namespace
 
 std::vector<Fault> CompoundFaultScenario::Faults(uint64_t seed) {
-  return CompoundFaultSchedule(seed, SettingsFor(seed, false));
+  return CompoundFaultSchedule(CompoundFaultOf(seed), seed, SettingsFor(seed, false));
+}
+
+// Each seed is a round of its own, so that the seeds sweep the schedule evenly.
+std::vector<Fault> BriefContactScenario::Faults(uint64_t seed) {
+  return CompoundFaultSchedule(CompoundFault::kBriefContact, seed * kSeededCompoundFaults,
+                               SettingsFor(seed, false));
 }
 
 CompoundFaultScenario::CompoundFaultScenario(uint64_t seed, const std::vector<Fault>& faults,
                                              bool lease_shards)
+    : CompoundFaultScenario(seed, faults, lease_shards, CompoundFaultOf(seed)) {}
+
+CompoundFaultScenario::CompoundFaultScenario(uint64_t seed, const std::vector<Fault>& faults,
+                                             bool lease_shards, CompoundFault kind)
     : AvailabilityScenario(seed, faults, lease_shards),
-      kind_(CompoundFaultOf(seed)),
+      kind_(kind),
       faults_(faults),
       extra_users_(*this) {
   AddCancelledJobs();
--- a/simulation/compound_fault_scenario.h
+++ b/simulation/compound_fault_scenario.h
@@ -40,6 +40,10 @@
   // The number of invalid submissions that were refused.
   size_t invalid_refused() const { return extra_users_.invalid_refused(); }
 
+ protected:
+  CompoundFaultScenario(uint64_t seed, const std::vector<Fault>& faults, bool lease_shards,
+                        CompoundFault kind);
+
  private:
   struct ExtraJob {
     uint64_t number = 0;  // unique among the extra jobs; part of the job id
@@ -81,4 +85,13 @@
   double cancel_at_end_until_ = 0;  // users cancel jobs that end before this time
 };
 
+// A day with the compound fault kBriefContact, whatever the seed.
+class BriefContactScenario : public CompoundFaultScenario {
+ public:
+  BriefContactScenario(uint64_t seed, const std::vector<Fault>& faults, bool lease_shards)
+      : CompoundFaultScenario(seed, faults, lease_shards, CompoundFault::kBriefContact) {}
+
+  static std::vector<Fault> Faults(uint64_t seed);
+};
+
 }  // namespace mosspath::simulation
--- a/simulation/compound_faults.cc
+++ b/simulation/compound_faults.cc
@@ -24,7 +24,7 @@
 // Returns a value from `lower` to `upper`. Successive rounds of seeds cover the interval ever more
 // densely; the salt varies the value within a seed.
 double SweptValue(uint64_t seed, double lower, double upper, uint64_t salt) {
-  const double step = static_cast<double>(seed / kCompoundFaultKinds + 1) * kGoldenRatio +
+  const double step = static_cast<double>(seed / kSeededCompoundFaults + 1) * kGoldenRatio +
                       static_cast<double>(salt) * kSaltStep;
   return lower + (upper - lower) * (step - std::floor(step));
 }
@@ -41,7 +41,7 @@
         outage_s(std::min(1.3 * cancel_within_s, kMaxOutageS)),
         offset_s(Sweep(0, 1.3 * lease_s, 0)),
         short_offset_s(Sweep(0, 0.4 * lease_s, 1)),
-        round(seed / kCompoundFaultKinds),
+        round(seed / kSeededCompoundFaults),
         even_round(round % 2 == 0) {}
 
   double Sweep(double lower, double upper, uint64_t salt) const {
@@ -255,6 +255,20 @@
     schedule.AddInstant(Kind::kRestartLeader, kStart + schedule.short_offset_s + 1);
 }
 
+// The first partition is almost as long as an agent lease, so that the answer after it renews the
+// lease as late as possible. In two of three rounds the leader restarts in each partition.
+void BriefContact(Schedule& schedule) {
+  const double cut_s = schedule.Sweep(0.6, 0.98, 2) * schedule.lease_s;
+  const double second_at = kStart + cut_s + schedule.Sweep(0, 0.2, 3) * schedule.lease_s;
+  schedule.Add(Kind::kBriefContact, kStart, cut_s, schedule.even_round);
+  schedule.AddInstant(Kind::kCancelNow, kStart + schedule.Sweep(0, 0.1, 4) * schedule.lease_s);
+  schedule.Add(Kind::kBriefContact, second_at, cut_s, schedule.even_round);
+  if (!schedule.first_variant()) {
+    schedule.AddInstant(Kind::kRestartLeader, kStart + schedule.short_offset_s);
+    schedule.AddInstant(Kind::kRestartLeader, second_at + schedule.short_offset_s);
+  }
+}
+
 // ---------------------------------------------------------------------------- occurrences
 
 using Scenario = CompoundFaultScenario;
@@ -356,6 +370,10 @@
   return std::min(scenario.counts().hung, scenario.counts().cancelled);
 }
 
+size_t CancelledWithBriefContacts(const Scenario& scenario) {
+  return std::min(scenario.world.observed.busy_brief_contacts, scenario.counts().cancelled);
+}
+
 size_t BusyTerminated(const Scenario& scenario) { return scenario.counts().busy_terminated; }
 
 // ---------------------------------------------------------------------------- table
@@ -394,6 +412,7 @@
     {CompoundFault::kCancellationsWithHang, "cancel-hang", CancellationsWithHang,
      CancelledWithHungMachines},
     {CompoundFault::kPlacementConstraints, "bound", PlacementConstraints, BusyTerminated},
+    {CompoundFault::kBriefContact, "brief-contact", BriefContact, CancelledWithBriefContacts},
 };
 
 constexpr bool TableMatchesEnumOrder() {
@@ -411,14 +430,15 @@
 }  // namespace
 
 CompoundFault CompoundFaultOf(uint64_t seed) {
-  return static_cast<CompoundFault>(seed % kCompoundFaultKinds);
+  return static_cast<CompoundFault>(seed % kSeededCompoundFaults);
 }
 
 const char* CompoundFaultName(CompoundFault kind) { return CompoundFaultTypeOf(kind).name; }
 
-std::vector<Fault> CompoundFaultSchedule(uint64_t seed, const config::Settings& settings) {
+std::vector<Fault> CompoundFaultSchedule(CompoundFault kind, uint64_t seed,
+                                         const config::Settings& settings) {
   Schedule schedule(seed, settings);
-  CompoundFaultTypeOf(CompoundFaultOf(seed)).schedule(schedule);
+  CompoundFaultTypeOf(kind).schedule(schedule);
   std::vector<Fault> faults = schedule.faults();
   SortByTime(faults);
   return faults;
--- a/simulation/compound_faults.h
+++ b/simulation/compound_faults.h
@@ -43,9 +43,15 @@
   kCancellationsBeforeOutage,
   kCancellationsWithHang,  // jobs are cancelled while some of their machines hang
   kPlacementConstraints,   // jobs with zone, single-zone or spread constraints lose machines
+  // Machines receive one answer between two partitions, around cancellations. No seed has this
+  // kind: all days of the brief contact scenario have it.
+  kBriefContact,
   kKinds
 };
 
+// The number of kinds that follow from a seed.
+inline constexpr uint64_t kSeededCompoundFaults =
+    static_cast<uint64_t>(CompoundFault::kBriefContact);
 inline constexpr uint64_t kCompoundFaultKinds = static_cast<uint64_t>(CompoundFault::kKinds);
 
 // Time of the first fault in most schedules, in seconds since the start of the day. Tasks are
@@ -58,8 +64,9 @@
 // not change.
 const char* CompoundFaultName(CompoundFault kind);
 
-// Returns the faults of the seed's kind, sorted by time, for a deployment with these settings.
-std::vector<Fault> CompoundFaultSchedule(uint64_t seed, const config::Settings& settings);
+// Returns the faults of the kind, sorted by time, for a deployment with these settings.
+std::vector<Fault> CompoundFaultSchedule(CompoundFault kind, uint64_t seed,
+                                         const config::Settings& settings);
 
 // Returns how often the condition that the kind tests occurred during the scenario's day.
 size_t CountOccurrences(CompoundFault kind, const CompoundFaultScenario& scenario);
--- a/simulation/faults.cc
+++ b/simulation/faults.cc
@@ -25,6 +25,9 @@
 // Messages over slow links, and the answers to these messages, arrive at most this long after the
 // end of the fault.
 constexpr double kLateDeliveryS = 30;
+// A brief contact waits at most this long for a machine to receive an answer.
+constexpr double kMaxContactHeartbeats = 2;
+constexpr double kContactCheckS = 0.02;
 
 // ---------------------------------------------------------------------------- affected hosts
 
@@ -176,14 +179,48 @@
   CutFromPeers(cluster, fault, node);
 }
 
+void CutInbound(SimulatedEnvironment& world, const SimulatedAgent& agent, double duration_s,
+                bool hold) {
+  for (const auto& node : world.nodes) {
+    world.network.CutOneWay(node, agent.id(), duration_s, hold);
+  }
+}
+
 void CutAgentsInbound(SimulatedCluster& cluster, const Fault& fault) {
   // For one selector in five, every second machine is cut off; otherwise, every eighth machine.
   const size_t one_in = fault.selector % 5 == 0 ? 2 : 8;
   const double duration_s = kInboundCutFactor * fault.duration_s;
   for (const SimulatedAgent* agent : EveryNthAgent(cluster, fault, one_in)) {
-    for (const auto& node : cluster.world.nodes) {
-      cluster.world.network.CutOneWay(node, agent->id(), duration_s, fault.hold);
-    }
+    CutInbound(cluster.world, *agent, duration_s, fault.hold);
+  }
+}
+
+// Cuts the agent off once it has received an answer after the one to the heartbeat `acknowledged`,
+// or at `latest`.
+void CutInboundAfterAnswer(SimulatedEnvironment& world, const SimulatedAgent& agent,
+                           uint64_t acknowledged, double latest, const Fault& fault) {
+  const bool answered = agent.acknowledged_sequence() > acknowledged;
+  if (answered || world.clock.now() >= latest) {
+    world.observed.busy_brief_contacts += answered && agent.running_tasks() > 0 ? 1 : 0;
+    return CutInbound(world, agent, fault.duration_s, fault.hold);
+  }
+  world.clock.After(kContactCheckS, [&world, &agent, acknowledged, latest, fault] {
+    CutInboundAfterAnswer(world, agent, acknowledged, latest, fault);
+  });
+}
+
+double MaxContactS(const config::Settings& settings) {
+  return kMaxContactHeartbeats * settings.heartbeat_s;
+}
+
+void BriefContact(SimulatedCluster& cluster, const Fault& fault) {
+  SimulatedEnvironment& world = cluster.world;
+  for (const SimulatedAgent* agent : AgentsOfGroup(cluster, fault)) {
+    CutInbound(world, *agent, fault.duration_s, fault.hold);
+    world.clock.After(fault.duration_s, [&world, agent, fault] {
+      const double latest = world.clock.now() + MaxContactS(world.settings);
+      CutInboundAfterAnswer(world, *agent, agent->acknowledged_sequence(), latest, fault);
+    });
   }
 }
 
@@ -317,6 +354,10 @@
   return fault.at + fault.duration_s + kMaxWriteDelayS;
 }
 
+double AfterBriefContact(const Fault& fault, const config::Settings& settings) {
+  return fault.at + 2 * fault.duration_s + MaxContactS(settings);
+}
+
 // Answers to direct commands are delayed by less than an agent lease.
 double AfterLateDelivery(const Fault& fault, const config::Settings& settings) {
   return fault.at + fault.duration_s + std::max(kLateDeliveryS, settings.agent_lease_s);
@@ -367,6 +408,7 @@
     {Kind::kCancelNow, "cancel-now", NotifyUsers},
     {Kind::kCancelAtEnd, "cancel-at-end", NotifyUsers},
     {Kind::kUnusualRequests, "unusual-requests", NotifyUsers},
+    {Kind::kBriefContact, "brief-contact", BriefContact, AfterBriefContact},
 };
 
 constexpr bool TableMatchesEnumOrder() {
--- a/simulation/faults.h
+++ b/simulation/faults.h
@@ -55,6 +55,9 @@
     kCancelNow,
     kCancelAtEnd,      // users cancel jobs just as the jobs complete
     kUnusualRequests,  // users resubmit jobs, cancel completed jobs and submit invalid jobs
+    // One-way: some machines receive no messages, then the answer to one heartbeat, and then again
+    // no messages for the same time.
+    kBriefContact,
     kKinds
   };
 
--- a/simulation/main.cc
+++ b/simulation/main.cc
@@ -20,6 +20,7 @@
 namespace {
 
 using mosspath::simulation::AvailabilityScenario;
+using mosspath::simulation::BriefContactScenario;
 using mosspath::simulation::CompoundFault;
 using mosspath::simulation::CompoundFaultName;
 using mosspath::simulation::CompoundFaultScenario;
@@ -201,11 +202,16 @@
       "addition", "Faults of every kind; checks for lost, starved and late jobs");
   auto* compound =
       app.add_subcommand("meetings", "Compound faults: two or three faults at the same time");
-  for (auto* scenario : {overload, availability, compound}) AddOptions(*scenario, options);
+  auto* brief_contact = app.add_subcommand(
+      "contact", "Machines that receive one answer between two partitions, around cancellations");
+  for (auto* scenario : {overload, availability, compound, brief_contact}) {
+    AddOptions(*scenario, options);
+  }
   CLI11_PARSE(app, argc, argv);
-  const Scenario scenario = availability->parsed() ? ScenarioOf<AvailabilityScenario>(options)
-                            : compound->parsed()   ? ScenarioOf<CompoundFaultScenario>(options)
-                                                   : ScenarioOf<OverloadScenario>(options);
+  const Scenario scenario = availability->parsed()    ? ScenarioOf<AvailabilityScenario>(options)
+                            : compound->parsed()      ? ScenarioOf<CompoundFaultScenario>(options)
+                            : brief_contact->parsed() ? ScenarioOf<BriefContactScenario>(options)
+                                                      : ScenarioOf<OverloadScenario>(options);
   spdlog::set_level(options.log ? spdlog::level::debug : spdlog::level::off);
 
   const std::vector<Outcome> outcomes = RunDays(scenario, options);
@@ -215,6 +221,7 @@
       std::count_if(outcomes.begin(), outcomes.end(),
                     [](const Outcome& outcome) { return !outcome.breaches.empty(); }));
   PrintSummary(outcomes, broken);
-  const bool all_occurred = !compound->parsed() || PrintCompoundFaults(outcomes);
+  const bool has_compound_faults = compound->parsed() || brief_contact->parsed();
+  const bool all_occurred = !has_compound_faults || PrintCompoundFaults(outcomes);
   return broken == 0 && all_occurred ? 0 : 1;
 }
--- a/simulation/simulated_environment.h
+++ b/simulation/simulated_environment.h
@@ -93,6 +93,8 @@
     size_t late_commands = 0;        // command batches that arrived seconds after they were sent
     // Command batches that were executed by machines whose heartbeats were lost.
     size_t outbound_cut_commands = 0;
+    // Machines that ran tasks when they were cut off again after a brief contact.
+    size_t busy_brief_contacts = 0;
     size_t late_answers = 0;        // command answers that arrived after a newer heartbeat
     std::vector<double> elections;  // times at which a controller was elected
     std::string last_confirmer;     // the controller that last confirmed a cancellation
