Put stops before forget commands in the answer to a heartbeat

Cause: an answer has at most 400 commands, and forget and stop commands were taken in the order of the tasks. With 400 exited attempts on the machine, as after an outage of the store whose completions have just become durable, the answer renewed the lease and left out the stops that came later.

Fix: stops first, then forget commands, then starts; a function for each.

--- a/include/mosspath/scheduler/command_planner.h
+++ b/include/mosspath/scheduler/command_planner.h
@@ -38,6 +38,12 @@
   void RaiseTokens();
 
  private:
+  // Each of these functions appends the commands of one type for the answer to a heartbeat.
+  static void AppendStops(cluster::Machine& machine, double now,
+                          std::vector<wire::Command>& commands);
+  void AppendForgets(cluster::Machine& machine, std::vector<wire::Command>& commands) const;
+  void AppendStarts(cluster::Machine& machine, double now, std::vector<wire::Command>& commands);
+
   bool NeedsProbes(double now) const;
   std::vector<wire::Command> TakeDirectCommands(cluster::Machine& machine, double now);
   bool AwaitsDurableCompletion(const wire::TaskId& task,
--- a/src/scheduler/command_planner.cc
+++ b/src/scheduler/command_planner.cc
@@ -49,32 +49,46 @@
 
 // ---------------------------------------------------------------------------- answers
 
+// Stops come first, because the answer renews the lease under which the tasks run. The limit on
+// commands delays starts first, and then forget commands.
 std::vector<wire::Command> CommandPlanner::TakeHeartbeatCommands(Machine& machine, double now) {
   std::vector<wire::Command> commands;
-  const bool may_start = machine.record_durable && state_.cluster.IsSchedulable(machine, now);
-  // Forget and stop commands are added before starts, so that the limit on commands delays starts
-  // first.
+  AppendStops(machine, now, commands);
+  AppendForgets(machine, commands);
+  AppendStarts(machine, now, commands);
+  return commands;
+}
+
+void CommandPlanner::AppendStops(Machine& machine, double now,
+                                 std::vector<wire::Command>& commands) {
   for (auto& [key, allocation] : machine.allocations) {
-    if (commands.size() >= kMaxCommands) break;
-    const auto& [task, attempt] = key;
-    if (allocation.exited()) {
-      if (AwaitsDurableCompletion(task, allocation)) continue;
-      allocation.forget_sent_sequence = machine.heartbeat_sequence;
-      commands.push_back({wire::CommandType::kForget, task, attempt, 0});
-    } else if (AwaitsStop(allocation)) {
-      allocation.stop_sent_at = now;
-      commands.push_back({wire::CommandType::kStop, task, attempt, allocation.grace_s});
-    }
+    if (commands.size() >= kMaxCommands) return;
+    if (!AwaitsStop(allocation)) continue;
+    allocation.stop_sent_at = now;
+    commands.push_back({wire::CommandType::kStop, key.first, key.second, allocation.grace_s});
   }
+}
+
+void CommandPlanner::AppendForgets(Machine& machine, std::vector<wire::Command>& commands) const {
+  for (auto& [key, allocation] : machine.allocations) {
+    if (commands.size() >= kMaxCommands) return;
+    if (!allocation.exited() || AwaitsDurableCompletion(key.first, allocation)) continue;
+    allocation.forget_sent_sequence = machine.heartbeat_sequence;
+    commands.push_back({wire::CommandType::kForget, key.first, key.second, 0});
+  }
+}
+
+void CommandPlanner::AppendStarts(Machine& machine, double now,
+                                  std::vector<wire::Command>& commands) {
+  if (!machine.record_durable || !state_.cluster.IsSchedulable(machine, now)) return;
   for (auto& [key, allocation] : machine.allocations) {
-    if (commands.size() >= kMaxCommands) break;
-    if (allocation.state != Allocation::State::kPlanned || !may_start) continue;
+    if (commands.size() >= kMaxCommands) return;
+    if (allocation.state != Allocation::State::kPlanned) continue;
     allocation.state = Allocation::State::kStartSent;
     allocation.start_sent_sequence = machine.heartbeat_sequence;
     allocation.start_sent_token = machine.fencing_token;
     commands.push_back({wire::CommandType::kStart, key.first, key.second, 0});
   }
-  return commands;
 }
 
 // Does not mark the stops as sent: the heartbeat may be delayed, and then the agent ignores the
--- a/tests/cancelled_task_test.cc
+++ b/tests/cancelled_task_test.cc
@@ -56,5 +56,18 @@
   ExpectOnlyStop(SendHeartbeat("vm-1", 5, {test::Running(start)}), start.task, start.attempt);
 }
 
+TEST_F(CancelledTaskRunsOnTest, AfterAnAnswerFullOfForgets) {
+  constexpr uint32_t kExitedTasks = 1000;
+  std::vector<wire::TaskStatus> listed;
+  for (uint32_t index = 0; index < kExitedTasks; ++index) {
+    listed.push_back(test::Running({"req-1", index}, 77));
+    test::MarkExited(listed.back(), wire::ExitReason::kFailed);
+  }
+  listed.push_back(test::Running({"req-2", 0}, 78));
+  const auto stops = Stops(SendHeartbeat("vm-1", 1, listed));
+  ASSERT_EQ(stops.size(), 1u);
+  EXPECT_EQ(stops[0].task, (wire::TaskId{"req-2", 0}));
+}
+
 }  // namespace
 }  // namespace mosspath::scheduler
