Test with real processes: a cancelled task ends with the first answer of a new leader

Three controllers as real processes on loopback, fake agents that are cut off, a cancellation confirmed by a controller that doesn't lead, the leader killed; then each agent takes one answer and is cut off again. The fake agents get a contact that can be limited; the test of the store's outage and this one share the look for the leader.

--- a/tests/fakes/fake_agent.cc
+++ b/tests/fakes/fake_agent.cc
@@ -39,6 +39,7 @@
 
 void FakeAgent::OnRequest(const net::HttpRequest& request,
                           const net::HttpServer::Responder& respond) {
+  if (contact_ != Contact::kFull) return;
   if (request.path == "/commands") {
     const json body = json::parse(request.body);
     if (body.at("baton").get<uint64_t>() < fencing_token_ || body.at("shift") != kAgentEpoch) {
@@ -66,6 +67,10 @@
 
 void FakeAgent::SendHeartbeat() {
   if (awaiting_answer_) return;
+  if (contact_ == Contact::kNone) {
+    heartbeat_timer_.After(heartbeat_s_, [this] { SendHeartbeat(); });
+    return;
+  }
   awaiting_answer_ = true;
   clients_[node_index_]->Send("POST", "/v1/report", MakeHeartbeat().dump(), kHeartbeatTimeoutS,
                               [this](const net::HttpResult& result) {
@@ -87,6 +92,7 @@
     fencing_token_ = token;
     Execute(body.at("calls"));
   }
+  if (contact_ == Contact::kOneAnswer) contact_ = Contact::kNone;
   heartbeat_timer_.After(new_leader ? kPromptHeartbeatDelayS : heartbeat_s_,
                          [this] { SendHeartbeat(); });
 }
--- a/tests/fakes/fake_agent.h
+++ b/tests/fakes/fake_agent.h
@@ -26,6 +26,15 @@
   FakeAgent(asio::io_context& io, std::string id, std::vector<std::string> nodes,
             double heartbeat_s, double run_s, const std::set<std::string>& long_jobs);
 
+  // How far the network lets the agent and the controllers reach each other.
+  enum class Contact {
+    kFull,
+    kNone,       // no heartbeats are sent, and direct commands get no answer
+    kOneAnswer,  // as kNone, but heartbeats are sent until one of them is answered with status 200
+  };
+  void set_contact(Contact contact) { contact_ = contact; }
+  Contact contact() const { return contact_; }
+
   // Returns how many tasks of the job run on this agent.
   size_t running(const std::string& job) const;
 
@@ -45,6 +54,7 @@
   const double heartbeat_s_;
   const double run_s_;
   const std::set<std::string>& long_jobs_;
+  Contact contact_ = Contact::kFull;
   size_t node_index_ = 0;
   uint64_t fencing_token_ = 0;
   uint64_t sequence_ = 0;
--- a/tests/fakes/fake_cloud.cc
+++ b/tests/fakes/fake_cloud.cc
@@ -1,5 +1,6 @@
 #include "fakes/fake_cloud.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "fakes/loopback.h"
@@ -31,6 +32,16 @@
 
 std::string FakeCloud::address() const { return LoopbackAddress(*server_); }
 
+void FakeCloud::SetContact(FakeAgent::Contact contact) {
+  for (auto& [id, agent] : agents_) agent->set_contact(contact);
+}
+
+bool FakeCloud::IsCutOff() const {
+  return std::all_of(agents_.begin(), agents_.end(), [](const auto& entry) {
+    return entry.second->contact() == FakeAgent::Contact::kNone;
+  });
+}
+
 size_t FakeCloud::running(const std::string& job) const {
   size_t tasks = 0;
   for (const auto& [id, agent] : agents_) tasks += agent->running(job);
--- a/tests/fakes/fake_cloud.h
+++ b/tests/fakes/fake_cloud.h
@@ -29,6 +29,9 @@
   std::set<std::string> long_jobs;
   // Returns how many tasks of the job run on all machines together.
   size_t running(const std::string& job) const;
+  // Sets the contact of all machines. IsCutOff: whether all machines are without contact.
+  void SetContact(FakeAgent::Contact contact);
+  bool IsCutOff() const;
 
  private:
   using Responder = net::HttpServer::Responder;
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -28,6 +28,7 @@
 class Loopback : public ::testing::Test {
  protected:
   static constexpr int kNodes = 3;
+  static constexpr int kNoNode = -1;
 
   Loopback()
       : address_{FreeAddress(io_), FreeAddress(io_), FreeAddress(io_)},
@@ -143,6 +144,13 @@
     return status == 200 ? body.value("stage", "") : std::to_string(status);
   }
 
+  // Returns the leader that the node names, or kNoNode.
+  int LeaderKnownTo(int node) {
+    const json status = Request(node, "GET", "/status.json").second;
+    const std::string name = status.is_object() ? status.value("leader", "") : "";
+    return name.empty() ? kNoNode : name.back() - '0';
+  }
+
   asio::io_context io_;
   std::string address_[kNodes];
   std::string peer_address_[kNodes];
@@ -353,14 +361,9 @@
     EXPECT_EQ(Request(0, "POST", "/api/jobs", Job(id, 2).dump()).first, 201);
     EXPECT_TRUE(WaitUntil([&] { return cloud_.running(id) == 2; }));
   }
-  int leader = -1;
-  EXPECT_TRUE(WaitUntil([&] {
-    const json status = Request(0, "GET", "/status.json").second;
-    const std::string name = status.is_object() ? status.value("leader", "") : "";
-    leader = name.empty() ? -1 : name.back() - '0';
-    return leader >= 0;
-  }));
-  ASSERT_GE(leader, 0);
+  int leader = kNoNode;
+  EXPECT_TRUE(WaitUntil([&] { return (leader = LeaderKnownTo(0)) != kNoNode; }));
+  ASSERT_NE(leader, kNoNode);
   state_.refused = {static_cast<size_t>(leader)};
   const int other = (leader + 1) % kNodes;
   EXPECT_TRUE(WaitUntil([&] {
@@ -381,6 +384,32 @@
   }
 }
 
+TEST_F(Loopback, ACancelledTaskEndsWithTheFirstAnswerOfANewLeader) {
+  using Contact = fakes::FakeAgent::Contact;
+  constexpr size_t kTasks = 20;
+  const std::string job = "req-000030";
+  cloud_.long_jobs = {job};
+  EXPECT_EQ(Request(0, "POST", "/api/jobs", Job(job, kTasks).dump()).first, 201);
+  EXPECT_TRUE(WaitUntil([&] { return cloud_.running(job) == kTasks; }));
+  ASSERT_GT(cloud_.rented(), 1u);  // A new leader deletes a single machine that does not answer.
+  int leader = kNoNode;
+  EXPECT_TRUE(WaitUntil([&] { return (leader = LeaderKnownTo(0)) != kNoNode; }));
+  ASSERT_NE(leader, kNoNode);
+  cloud_.SetContact(Contact::kNone);
+  const int other = (leader + 1) % kNodes;
+  EXPECT_EQ(Request(other, "POST", "/api/jobs/" + job + "/cancel").second.value("stage", ""),
+            "aborted");
+  Kill(leader);
+  EXPECT_TRUE(WaitUntil([&] {
+    const int next = LeaderKnownTo(other);
+    return next != kNoNode && next != leader;
+  }));
+  EXPECT_EQ(cloud_.running(job), kTasks);
+  cloud_.SetContact(Contact::kOneAnswer);
+  EXPECT_TRUE(WaitUntil([&] { return cloud_.IsCutOff(); }));
+  EXPECT_EQ(cloud_.running(job), 0u);
+}
+
 // Runs the program with the arguments. Returns its exit code and its output (stdout and stderr).
 std::pair<int, std::string> RunProgram(asio::io_context& io, const std::string& arguments) {
   const std::string out = ::testing::TempDir() + "mosspath-out-" + std::to_string(getpid());
