Log and count what tells why a cancelled task still runs

The records of the incident could not tell who led with which view, when the leader knew of the cancellation, or whether the renewing answer had a stop. Now, at info: - election: leading: token, whether it may act, store lease left, age and revision of the view, every two heartbeat intervals on the leader; - service: cancellation_learned, with the way (commit, store, peer) and revision; - scheduler: lease_renewed for an answer that gives a new token and has stops, or whose stops are older than a heartbeat interval; stops_sent for such stops that go straight to agents; late_stop_confirmed when such a task has exited. Prompt stops log nothing, so a cancelled job of hundreds of tasks logs a line.

--- a/include/mosspath/cluster/machine.h
+++ b/include/mosspath/cluster/machine.h
@@ -32,6 +32,8 @@
   wire::ExitReason exit_reason = wire::ExitReason::kNone;
   bool stop_requested = false;
   double grace_s = 0;
+  // When this controller learned that the job has ended; nothing while the job is live.
+  std::optional<double> job_end_seen_at;
   uint64_t last_listed_in = 0;  // number of the last reconciled heartbeat that listed the attempt
   double stop_sent_at = -1e18;
   // Sequence of the heartbeat whose answer contained the command to forget the attempt; 0: none.
--- a/include/mosspath/election/elector.h
+++ b/include/mosspath/election/elector.h
@@ -48,6 +48,9 @@
   void Resign(LeadershipLossReason reason);
   [[nodiscard]] bool MayResign(double now) const { return leadership_.MayResign(now); }
 
+  // Logs until when this controller may act as the leader, and how old its view is.
+  void LogLeadership(double now) const;
+
   // --- See election::Leadership for the contracts ---
   [[nodiscard]] bool MayAct(double now) const { return leadership_.MayAct(now); }
   [[nodiscard]] bool IsStale(double now) const { return leadership_.IsStale(now); }
--- a/include/mosspath/election/leadership.h
+++ b/include/mosspath/election/leadership.h
@@ -84,6 +84,10 @@
   // kvstore::kNoLease while this controller has no store lease.
   [[nodiscard]] uint64_t store_lease() const { return store_lease_; }
   [[nodiscard]] bool StoreLeaseHolds(double now) const { return store_lease_clock_.Holds(now); }
+  // See LeaseClock::RemainingS.
+  [[nodiscard]] double store_lease_left_s(double now) const {
+    return store_lease_clock_.RemainingS(now);
+  }
 
   // --- The leader key, as read from the state service ---
   struct LeaderKey {
@@ -135,6 +139,8 @@
   // it leads or not.
   [[nodiscard]] bool ViewIsFresh(double now) const { return staleness_.IsFresh(now); }
   [[nodiscard]] double view_age_s(double now) const { return staleness_.age_s(now); }
+  // This controller has read every change up to this revision.
+  [[nodiscard]] uint64_t read_revision() const { return read_revision_; }
   // The leader has sent the age of its view (docs/sharding.md): its view holds all cancellations
   // that were confirmed to users before `as_of`. This controller has read all of them too, so the
   // age of its own view is measured from `as_of` as well.
--- a/include/mosspath/election/lease_clock.h
+++ b/include/mosspath/election/lease_clock.h
@@ -20,6 +20,8 @@
   // Called when the lease has ended or is about to be revoked: Holds() is false until a renewal.
   void OnLost() { expires_at_.reset(); }
   [[nodiscard]] bool Holds(double now) const { return expires_at_ && now < *expires_at_; }
+  // Returns 0 if there is no lease, and a negative number once the lease may have expired.
+  [[nodiscard]] double RemainingS(double now) const { return expires_at_ ? *expires_at_ - now : 0; }
 
  private:
   double usable_s_;
--- a/include/mosspath/scheduler/heartbeat_handler.h
+++ b/include/mosspath/scheduler/heartbeat_handler.h
@@ -47,6 +47,9 @@
  private:
   bool IsCommandedElsewhere(const std::string& machine) const;
   bool IsUsable(const wire::Heartbeat& heartbeat) const;
+  // Returns the answer that renews the agent's lease and carries the commands.
+  HeartbeatAnswer Renew(const cluster::Machine& machine, const wire::Heartbeat& heartbeat,
+                        std::vector<wire::Command> commands, double now);
   // Called when a heartbeat confirms the machine's present token.
   void OnTokenConfirmed(cluster::Machine& machine, double now);
   void OnReclaimNotice(cluster::Machine& machine, const wire::Heartbeat& heartbeat, double now);
--- a/include/mosspath/scheduler/scheduler.h
+++ b/include/mosspath/scheduler/scheduler.h
@@ -89,6 +89,11 @@
     outcomes_.OnOutcome(batch, outcome, heartbeat, now);
   }
 
+  // Returns the figures of the attempts that are to be stopped because their jobs have ended.
+  StopSummary SummarizeStops(double now) const {
+    return state_.stop_monitor.Summarize(state_.cluster.machines, now);
+  }
+
   // --- Machines: see MachineLifecycle and ProvisioningTracker ---
 
   void OnMachineDeleted(const std::string& id, double now) {
--- a/include/mosspath/scheduler/scheduler_state.h
+++ b/include/mosspath/scheduler/scheduler_state.h
@@ -16,6 +16,7 @@
 #include "mosspath/scheduler/provisioning_tracker.h"
 #include "mosspath/scheduler/service_level_objectives.h"
 #include "mosspath/scheduler/shard_leases.h"
+#include "mosspath/scheduler/stop_monitor.h"
 #include "mosspath/scheduler/task_placer.h"
 #include "mosspath/scheduler/task_reconciliation.h"
 #include "mosspath/scheduler/unconfirmed_starts.h"
@@ -65,6 +66,7 @@
   ProvisioningTracker provisioning;
   UnconfirmedStarts unconfirmed_starts;
   const MachineHealth machine_health;
+  StopMonitor stop_monitor;
   TaskPlacer placer;
   SchedulingPolicy policy;
   // The current role, owned by the Scheduler. Null only while the Scheduler is being constructed.
--- a/include/mosspath/service/leader_service.h
+++ b/include/mosspath/service/leader_service.h
@@ -77,6 +77,7 @@
   void Tick();
   void MeasureLoopDelay(double tick_s);
   // If another controller may be able to lead better, schedules a resignation and returns true.
+  void LogLeadershipIfDue();
   [[nodiscard]] bool ResignIfUnfit();
   void RunDuties();
   void PlacementPass();
@@ -101,8 +102,9 @@
   net::Timer placement_timer_;
   bool placement_scheduled_ = false;
   std::optional<double> next_placement_at_;  // nullopt: no placement pass has run yet
-  std::optional<double> next_cleanup_at_;    // nullopt: no clean-up of job records has run yet
-  std::optional<double> tick_due_at_;        // nullopt: no tick has been scheduled yet
+  std::optional<double> next_leadership_log_at_;
+  std::optional<double> next_cleanup_at_;  // nullopt: no clean-up of job records has run yet
+  std::optional<double> tick_due_at_;      // nullopt: no tick has been scheduled yet
 };
 
 }  // namespace mosspath::service
--- a/include/mosspath/service/metrics.h
+++ b/include/mosspath/service/metrics.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <utility>
 
+#include "mosspath/scheduler/stop_monitor.h"
 #include "mosspath/wire/status_snapshot.h"
 
 namespace mosspath::service {
@@ -28,6 +29,8 @@
   void OnProcessStall(double seconds) { process_stall_seconds_.Increment(seconds); }
   // Sets the gauges to the figures of the status page.
   void Update(const wire::Status& s);
+  // Sets the gauges of the stops of ended jobs. A controller that commands no machines has none.
+  void Update(const scheduler::StopSummary& stops);
   std::string Text() const;
 
  private:
@@ -44,6 +47,9 @@
   prometheus::Family<prometheus::Gauge>& admission_;
   prometheus::Family<prometheus::Gauge>& submissions_;
   prometheus::Gauge& status_age_;
+  prometheus::Family<prometheus::Gauge>& stops_;
+  prometheus::Gauge& oldest_stop_;
+  prometheus::Gauge& renewals_with_stops_;
   std::set<std::string> exported_groups_;  // classes and teams with metrics
   // Caches of metrics by their labels. They save a look-up in the registry for each request; there
   // are hundreds of agent heartbeats a second.
--- a/src/election/elector.cc
+++ b/src/election/elector.cc
@@ -83,6 +83,14 @@
                MayAct(now) ? "under_promises" : "no");
 }
 
+void Elector::LogLeadership(double now) const {
+  spdlog::info(
+      "election: leading token={} acting={} store_lease_left_s={:.1f} view_age_s={:.2f} "
+      "revision={}",
+      token(), MayAct(now) ? "yes" : "no", leadership_.store_lease_left_s(now), view_age_s(now),
+      leadership_.read_revision());
+}
+
 void Elector::OnCacheLoaded(bool fresh) {
   HandleLoss(leadership_.OnLoaded(fresh));
   Evaluate();
--- a/src/scheduler/command_planner.cc
+++ b/src/scheduler/command_planner.cc
@@ -133,6 +133,7 @@
     }
     std::vector<wire::Command> commands = TakeDirectCommands(machine, now);
     if (commands.empty()) continue;
+    state_.stop_monitor.OnBatchSent(machine, commands, now);
     machine.command_in_flight = true;
     batches.push_back(
         {id, machine.address, machine.fencing_token, machine.agent_epoch, std::move(commands)});
--- a/src/scheduler/heartbeat_handler.cc
+++ b/src/scheduler/heartbeat_handler.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "mosspath/scheduler/role.h"
 
@@ -50,7 +51,7 @@
   // The answer renews the agent's lease, so it must stop the tasks of jobs that have ended.
   if (heartbeat.fencing_token != machine.fencing_token) {
     if (machine.token_unconfirmed_since <= 0) machine.token_unconfirmed_since = now;
-    return {true, machine.fencing_token, commands_.StopsUnderNewToken(machine, heartbeat.tasks)};
+    return Renew(machine, heartbeat, commands_.StopsUnderNewToken(machine, heartbeat.tasks), now);
   }
   machine.missing_from_list = false;
   OnReclaimNotice(machine, heartbeat, now);
@@ -59,7 +60,13 @@
   reconciler_.Reconcile(machine, heartbeat, HeartbeatKind::kPeriodic, now);
   lifecycle_.OnMachineReconciled(machine);
   state_.placer.Refill(machine, now);
-  return {true, machine.fencing_token, commands_.TakeHeartbeatCommands(machine, now)};
+  return Renew(machine, heartbeat, commands_.TakeHeartbeatCommands(machine, now), now);
+}
+
+HeartbeatAnswer HeartbeatHandler::Renew(const Machine& machine, const wire::Heartbeat& heartbeat,
+                                        std::vector<wire::Command> commands, double now) {
+  state_.stop_monitor.OnLeaseRenewed(machine, heartbeat.fencing_token, commands, now);
+  return {true, machine.fencing_token, std::move(commands)};
 }
 
 void HeartbeatHandler::OnTokenConfirmed(Machine& machine, double now) {
--- a/src/scheduler/job_lifecycle.cc
+++ b/src/scheduler/job_lifecycle.cc
@@ -57,6 +57,7 @@
       if (allocation.state == Allocation::State::kPlanned) {
         state_.cluster.RemoveAllocation(machine, it, now);
       } else {
+        allocation.job_end_seen_at = now;
         cluster::RequestStop(machine, allocation, /*grace_s=*/0);
       }
       it = next;
--- a/src/scheduler/reconciler.cc
+++ b/src/scheduler/reconciler.cc
@@ -193,6 +193,7 @@
   if (!is_pending) {
     allocation.orphaned = true;
     if (is_duplicate) state_.cluster.AddDuplicate(task, machine.id);
+    if (job == nullptr) allocation.job_end_seen_at = now;
     cluster::RequestStop(machine, allocation, /*grace_s=*/0);
     spdlog::info("scheduler: stopping_task task={} machine={} cause={}", wire::TaskName(task),
                  machine.id, is_duplicate ? "elsewhere_or_done" : "job_over");
@@ -229,6 +230,7 @@
 void Reconciler::OnTaskExited(Machine& machine, const wire::TaskId& task, Allocation& allocation,
                               double now) {
   Job* job = allocation.orphaned ? nullptr : state_.cluster.FindJob(task.job);
+  state_.stop_monitor.OnExited(machine, task, allocation, now);
   state_.cluster.changed_since_pass = true;
   state_.cluster.ReleaseResources(machine, allocation, task);
   if (job != nullptr && allocation.exit_reason == ExitReason::kSucceeded) {
--- a/src/scheduler/scheduler_state.cc
+++ b/src/scheduler/scheduler_state.cc
@@ -17,6 +17,7 @@
       provisioning(s, d),
       unconfirmed_starts(s),
       machine_health(s),
+      stop_monitor(s),
       placer(settings, cluster, objectives, failover, durable_state, shard_leases, fencing_token) {
   cluster.began_at = now;
 }
--- a/src/service/controller.cc
+++ b/src/service/controller.cc
@@ -78,8 +78,10 @@
           on_malformed_),
       public_routes_(derived_, metrics_, peers_, users_, heartbeats_,
                      [this] { return IsHealthy(); }),
-      peer_routes_(settings_.name, peers_, metrics_, operator_settings_, on_malformed_,
-                   [this](const wire::ShardFrame& frame) { return OnShardFrame(frame); }) {
+      peer_routes_(
+          settings_.name, peers_, metrics_, operator_settings_, on_malformed_,
+          [this](const wire::ShardFrame& frame) { return OnShardFrame(frame); },
+          [this] { return SummarizeStops(); }) {
   store_.on_malformed = on_malformed_;
   cloud_.on_malformed = on_malformed_;
   jobs_.on_cancelled_ahead = [this](const std::string& job) { OnCancelledAhead(job); };
@@ -131,6 +133,14 @@
       });
 }
 
+scheduler::StopSummary Controller::SummarizeStops() {
+  if (leader_) return leader_->scheduler().SummarizeStops(net::Now());
+  if (ShardHolderService* holder = shards_.holder()) {
+    return holder->holder().dispatcher().SummarizeStops(net::Now());
+  }
+  return {};
+}
+
 // ------------------------------------------------------------------ events of
 // the watch cache
 
@@ -180,7 +190,14 @@
     const double age_s = std::max(0.0, WallSeconds() - job.submitted_wall_s);
     leader_->scheduler().AddJob(job.spec, job.version, now - age_s);
   }
-  for (const auto& id : change.ended) leader_->scheduler().RemoveJob(id, now);
+  for (const auto& id : change.ended) {
+    const jobs::Job* job = leader_->scheduler().FindJob(id);
+    if (job != nullptr && !job->complete()) {
+      spdlog::info("service: cancellation_learned job={} way=store revision={} placed={}", id,
+                   cache_.revision(), job->placed());
+    }
+    leader_->scheduler().RemoveJob(id, now);
+  }
 }
 
 // Keeps the pack for the case that this controller is elected. If this
--- a/src/service/job_service.cc
+++ b/src/service/job_service.cc
@@ -144,6 +144,8 @@
     store_.Commit(std::move(txn), remaining_s,
                   [this, id, deadline, done](kvstore::TransactionResult r) {
                     if (r.outcome == kvstore::Outcome::kDone) {
+                      spdlog::info("service: cancellation_learned job={} way=commit revision={}",
+                                   id, r.revision);
                       OnCancellationLearned(id, r.revision);
                       return done(JobStatus::kCancelled);
                     }
--- a/src/service/leader_service.cc
+++ b/src/service/leader_service.cc
@@ -12,6 +12,8 @@
 constexpr double kTicksPerHeartbeat = 6;
 // Minimum pause between placement passes, as a multiple of the duration of the last pass.
 constexpr double kPauseRatio = 3;
+// Heartbeat intervals between two log lines about the leadership.
+constexpr double kLeadershipLogHeartbeats = 2;
 
 }  // namespace
 
@@ -79,10 +81,18 @@
   MeasureLoopDelay(tick_s);
   tick_timer_.After(tick_s, [this] { Tick(); });
   stalls_.Check();
+  LogLeadershipIfDue();
   if (ResignIfUnfit() || !term_.MayAct()) return;
   RunDuties();
 }
 
+void LeaderService::LogLeadershipIfDue() {
+  const double now = net::Now();
+  if (next_leadership_log_at_ && now < *next_leadership_log_at_) return;
+  next_leadership_log_at_ = now + kLeadershipLogHeartbeats * settings_.heartbeat_s;
+  elector_.LogLeadership(now);
+}
+
 void LeaderService::MeasureLoopDelay(double tick_s) {
   const double now = net::Now();
   command_sender_.set_loop_delay(tick_due_at_ ? now - *tick_due_at_ : 0);
--- a/src/service/metrics.cc
+++ b/src/service/metrics.cc
@@ -78,7 +78,21 @@
                       .Name("mosspath_status_age_seconds")
                       .Help("How old the figures are that this node shows")
                       .Register(registry_)
-                      .Add({})) {}
+                      .Add({})),
+      stops_(prometheus::BuildGauge()
+                 .Name("mosspath_stops")
+                 .Help("Tasks of ended jobs that may still run: all, and past half of cancel_s")
+                 .Register(registry_)),
+      oldest_stop_(prometheus::BuildGauge()
+                       .Name("mosspath_stop_oldest_seconds")
+                       .Help("Since this process learned of the end of the job, the longest")
+                       .Register(registry_)
+                       .Add({})),
+      renewals_with_stops_(prometheus::BuildGauge()
+                               .Name("mosspath_lease_renewals_with_stops")
+                               .Help("Agent leases renewed in this term while a stop was due")
+                               .Register(registry_)
+                               .Add({})) {}
 
 void Metrics::Update(const wire::Status& s) {
   status_age_.Set(s.snapshot_age_s);
@@ -125,6 +139,13 @@
   export_queues(s.snapshot.teams, "team");
 }
 
+void Metrics::Update(const scheduler::StopSummary& stops) {
+  stops_.Add({{"what", "outstanding"}}).Set(static_cast<double>(stops.outstanding));
+  stops_.Add({{"what", "late"}}).Set(static_cast<double>(stops.late));
+  oldest_stop_.Set(stops.oldest_s);
+  renewals_with_stops_.Set(static_cast<double>(stops.lease_renewals));
+}
+
 void Metrics::OnAnswered(Route route, int status, double seconds) {
   static const prometheus::Histogram::BucketBoundaries kBounds{
       0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
--- a/src/service/peer_service.cc
+++ b/src/service/peer_service.cc
@@ -205,7 +205,8 @@
   peer.bad_promise_logged = false;
   for (const auto& e : learned) {
     if (jobs_.FindLive(e.id) != nullptr) {
-      spdlog::info("service: cancellation_learned job={} node={}", e.id, peer.node);
+      spdlog::info("service: cancellation_learned job={} way=peer node={} revision={}", e.id,
+                   peer.node, e.revision);
     }
     jobs_.OnCancellationLearned(e.id, e.revision);
   }
