Count and log a renewed lease whose answer lacks the stop

The monitor looked only at answers with stops, so the very failure of the incident, an answer that renews and lacks the stop, would neither have been logged nor counted. It looks at the machine's outstanding attempts now. StopMonitorTest.ARenewalWithoutTheStopCounts failed before (0 where 1 is expected). docs/oncall.md said that such an answer can't be.

--- a/src/scheduler/stop_monitor.cc
+++ b/src/scheduler/stop_monitor.cc
@@ -41,13 +41,13 @@
 StopMonitor::StopMonitor(const config::Settings& settings)
     : log_after_s_(settings.heartbeat_s), late_after_s_(kLateShare * settings.cancel_within_s) {}
 
-// Most answers have no stops, and cost nothing here.
+// An outstanding attempt counts even if the answer has no stop for it: that would be a fault.
 void StopMonitor::OnLeaseRenewed(const Machine& machine, uint64_t token_seen,
                                  const std::vector<wire::Command>& commands, double now) {
   const size_t stops = CountStops(commands);
-  if (stops == 0) return;
   StopSummary summary;
   AddMachine(machine, now, late_after_s_, summary);
+  if (stops == 0 && summary.outstanding == 0) return;
   const bool raises_token = token_seen != machine.fencing_token;
   if (summary.outstanding > 0 || raises_token) ++lease_renewals_;
   if (!raises_token && summary.oldest_s <= log_after_s_) return;
--- a/tests/stop_monitor_test.cc
+++ b/tests/stop_monitor_test.cc
@@ -32,5 +32,13 @@
   EXPECT_EQ(summary.lease_renewals, 1u);
 }
 
+TEST_F(StopMonitorTest, ARenewalWithoutTheStopCounts) {
+  cluster::Machine machine;
+  machine.allocations[{{"req-1", 0}, 77}].job_end_seen_at = 3;
+  StopMonitor monitor(settings_);
+  monitor.OnLeaseRenewed(machine, machine.fencing_token, /*commands=*/{}, 4);
+  EXPECT_EQ(monitor.Summarize({}, 4).lease_renewals, 1u);
+}
+
 }  // namespace
 }  // namespace mosspath::scheduler
