Tests: reserve the ports of the loopback controllers

Cause: the fixtures of Loopback and GoldenCluster asked the system for a free port and closed the socket at once, so the same port could be handed out again: to the same fixture, to an outgoing connection, or, while a controller was killed, to anybody.

Change: ReservedAddress keeps a socket bound, which never listens, for the life of the fixture.

--- a/tests/golden_cluster_test.cc
+++ b/tests/golden_cluster_test.cc
@@ -6,7 +6,6 @@
 #include <gtest/gtest.h>
 
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -16,6 +15,7 @@
 #include <vector>
 
 #include "fakes/http_services.h"
+#include "fakes/loopback.h"
 #include "mosspath/config/settings.h"
 #include "mosspath/net/http_client.h"
 #include "mosspath/service/controller.h"
@@ -33,26 +33,20 @@
 class GoldenCluster : public ::testing::Test {
  protected:
   GoldenCluster()
-      : public_{FreeAddress(), FreeAddress()},
-        peer_{FreeAddress(), FreeAddress()},
-        state_(io_),
-        cloud_(io_, {public_[0], public_[1]}, kHeartbeatIntervalS, kTaskRunS) {
+      : state_(io_),
+        cloud_(io_, {public_[0].text(), public_[1].text()}, kHeartbeatIntervalS, kTaskRunS) {
     for (int i = 0; i < kControllers; ++i) {
       settings_.push_back(SettingsOf(i));
       nodes_.push_back(std::make_unique<service::Controller>(io_, settings_.back()));
       nodes_.back()->Start();
-      public_clients_.push_back(Client(public_[i]));
-      peer_clients_.push_back(Client(peer_[i]));
+      public_clients_.push_back(Client(public_[i].text()));
+      peer_clients_.push_back(Client(peer_[i].text()));
     }
     for (auto& client : public_clients_) {
       EXPECT_TRUE(WaitUntil([&] { return SendRequest(*client, "GET", "/healthz").status == 200; }));
     }
   }
 
-  std::string FreeAddress() {
-    asio::ip::tcp::acceptor acceptor(io_, {asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-  }
   std::unique_ptr<net::HttpClient> Client(const std::string& address) {
     return std::make_unique<net::HttpClient>(io_, address, net::HttpClient::Options{});
   }
@@ -62,9 +56,9 @@
     config::Settings s;
     s.name = Name(i);
     s.zone = "a";
-    s.public_address = public_[i];
-    s.peer_address = peer_[i];
-    s.peers = {{Name(1 - i), "a", peer_[1 - i]}};
+    s.public_address = public_[i].text();
+    s.peer_address = peer_[i].text();
+    s.peers = {{Name(1 - i), "a", peer_[1 - i].text()}};
     s.cloud_address = cloud_.address();
     s.store_address = state_.address();
     s.controller_count = kControllers;
@@ -160,8 +154,10 @@
   }
 
   asio::io_context io_;
-  const std::string public_[kControllers];
-  const std::string peer_[kControllers];
+  const fakes::ReservedAddress public_[kControllers] = {fakes::ReservedAddress(io_),
+                                                        fakes::ReservedAddress(io_)};
+  const fakes::ReservedAddress peer_[kControllers] = {fakes::ReservedAddress(io_),
+                                                      fakes::ReservedAddress(io_)};
   fakes::FakeKeyValueStore state_;
   fakes::FakeCloud cloud_;
   std::vector<config::Settings> settings_;
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -2,13 +2,14 @@
 // service and the cloud. They cover the user API, invalid input, crashed controllers and outages of
 // the state service. The tests wait for each expected state, up to a generous time limit, and check
 // no latencies.
+#include "fakes/loopback.h"
+
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <asio/ip/tcp.hpp>
 #include <fstream>
 
 #include "fakes/http_services.h"
@@ -20,25 +21,18 @@
 
 constexpr double kWaitLimitS = 60;
 
-std::string FreeAddress(asio::io_context& io) {
-  asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 class Loopback : public ::testing::Test {
  protected:
   static constexpr int kNodes = 3;
   static constexpr int kNoNode = -1;
 
   Loopback()
-      : address_{FreeAddress(io_), FreeAddress(io_), FreeAddress(io_)},
-        peer_address_{FreeAddress(io_), FreeAddress(io_), FreeAddress(io_)},
-        state_(io_, kNodes),
-        cloud_(io_, {address_[0], address_[1], address_[2]}, 0.3, 0.2) {
+      : state_(io_, kNodes),
+        cloud_(io_, {address_[0].text(), address_[1].text(), address_[2].text()}, 0.3, 0.2) {
     for (int i = 0; i < kNodes; ++i) {
       Start(i);
       clients_.push_back(
-          std::make_unique<net::HttpClient>(io_, address_[i], net::HttpClient::Options{}));
+          std::make_unique<net::HttpClient>(io_, address_[i].text(), net::HttpClient::Options{}));
     }
     for (int i = 0; i < kNodes; ++i) {
       EXPECT_TRUE(WaitUntil([&] { return Request(i, "GET", "/healthz").first == 200; }));
@@ -52,12 +46,12 @@
     const std::string path = ::testing::TempDir() + "mosspath-" + std::to_string(getpid()) + "-" +
                              std::to_string(i) + ".toml";
     std::ofstream out(path);
-    out << "label = \"hut-" << i << "\"\ndomain = \"a\"\npublic_addr = \"" << address_[i]
-        << "\"\nback = \"" << peer_address_[i] << "\"\n";
+    out << "label = \"hut-" << i << "\"\ndomain = \"a\"\npublic_addr = \"" << address_[i].text()
+        << "\"\nback = \"" << peer_address_[i].text() << "\"\n";
     for (int k = 0; k < kNodes; ++k) {
       if (k == i) continue;
       out << "[[seeds]]\nlabel = \"hut-" << k << "\"\ndomain = \"a\"\naddress = \""
-          << peer_address_[k] << "\"\n";
+          << peer_address_[k].text() << "\"\n";
     }
     out << "[outside]\ncloud = \"" << cloud_.address() << "\"\nstate = \""
         << state_.address(static_cast<size_t>(i)) << R"("
@@ -152,8 +146,10 @@
   }
 
   asio::io_context io_;
-  std::string address_[kNodes];
-  std::string peer_address_[kNodes];
+  const fakes::ReservedAddress address_[kNodes] = {
+      fakes::ReservedAddress(io_), fakes::ReservedAddress(io_), fakes::ReservedAddress(io_)};
+  const fakes::ReservedAddress peer_address_[kNodes] = {
+      fakes::ReservedAddress(io_), fakes::ReservedAddress(io_), fakes::ReservedAddress(io_)};
   pid_t pid_[kNodes] = {};
   fakes::FakeKeyValueStore state_;
   fakes::FakeCloud cloud_;
@@ -436,13 +432,13 @@
 TEST_F(Loopback, SubcommandsStatusAndSettings) {
   const std::string file = ::testing::TempDir() + "mosspath-job-" + std::to_string(getpid());
   std::ofstream(file) << Job("req-000010", 3).dump();
-  EXPECT_EQ(RunProgram(io_, "submit --server " + address_[0] + " " + file),
+  EXPECT_EQ(RunProgram(io_, "submit --server " + address_[0].text() + " " + file),
             (std::pair<int, std::string>{0, "req-000010 queued\n"}));
   EXPECT_TRUE(WaitUntil([&] { return JobStage(1, "req-000010") == "done"; }));
-  EXPECT_EQ(RunProgram(io_, "get --server " + address_[1] + " req-000010").second,
+  EXPECT_EQ(RunProgram(io_, "get --server " + address_[1].text() + " req-000010").second,
             "req-000010 done\n");
-  EXPECT_EQ(RunProgram(io_, "get --server " + address_[1] + " req-777777").first, 3);
-  EXPECT_EQ(RunProgram(io_, "cancel --json --server " + address_[1] + " req-000010").second,
+  EXPECT_EQ(RunProgram(io_, "get --server " + address_[1].text() + " req-777777").first, 3);
+  EXPECT_EQ(RunProgram(io_, "cancel --json --server " + address_[1].text() + " req-000010").second,
             "{\"id\":\"req-000010\",\"stage\":\"done\"}\n");
   EXPECT_EQ(RunProgram(io_, "get --server 127.0.0.1:1 req-000010").first, 1);
   EXPECT_EQ(RunProgram(io_, "get").first, 2);
@@ -451,26 +447,27 @@
   // Every controller reports a leader. Without --json, the status is a text page.
   for (const auto& address : address_) {
     EXPECT_TRUE(WaitUntil([&] {
-      const auto [code, text] = RunProgram(io_, "status --json --server " + address);
+      const auto [code, text] = RunProgram(io_, "status --json --server " + address.text());
       const json j = json::parse(text, nullptr, false);
       return code == 0 && j.is_object() && !j.value("leader", "").empty();
     }));
   }
-  EXPECT_NE(RunProgram(io_, "status --server " + address_[0]).second.find("Machines"),
+  EXPECT_NE(RunProgram(io_, "status --server " + address_[0].text()).second.find("Machines"),
             std::string::npos);
 
-  EXPECT_EQ(
-      RunProgram(io_, "settings --server " + peer_address_[0] + " set gamma=2.5 preemption=false")
-          .first,
-      0);
+  EXPECT_EQ(RunProgram(io_, "settings --server " + peer_address_[0].text() +
+                                " set gamma=2.5 preemption=false")
+                .first,
+            0);
   EXPECT_TRUE(WaitUntil([&] {
-    return RunProgram(io_, "settings --server " + peer_address_[1] + " get")
+    return RunProgram(io_, "settings --server " + peer_address_[1].text() + " get")
                .second.find("gamma = 2.5") != std::string::npos;
   }));
-  const auto invalid = RunProgram(io_, "settings --server " + peer_address_[1] + " set gamma=0.5");
+  const auto invalid =
+      RunProgram(io_, "settings --server " + peer_address_[1].text() + " set gamma=0.5");
   EXPECT_EQ(invalid.first, 3);
   EXPECT_NE(invalid.second.find("gamma"), std::string::npos);
-  net::HttpClient peer_client(io_, peer_address_[0], {});
+  net::HttpClient peer_client(io_, peer_address_[0].text(), {});
   int status = 0;
   peer_client.Send("PUT", "/admin/v1/settings", R"({"version":1,"settings":{"gamma":3}})", 5,
                    [&](const net::HttpResult& r) { status = r.status; });
