A critical job doesn't wait for lower tasks of its team at the team's limit

Cause: a priority inversion at a team's limit. At 73 s starts of three services were found lost after a change of leader; meanwhile arrays of low priority of the same team had filled its limit of 30 CPUs. 24 machines were up with 46 to 148 of 192 CPUs in use, but preemption looked for room on machines only, so nothing was stopped, and each CPU that was freed under the limit went to a task of one CPU before the service had the two that it needs. Seen with the use of the team in the log: 30 of 30 from 75 s on in 546 passes.

Change: for a job of critical priority that lacks quota, Preemption stops lower tasks of its team (as for room: the least loss first, floors kept), and QuotaReservation keeps what is free of the quota from lower jobs of the team while the critical job waits. Only teams with a limit, and only critical jobs; jobs of high priority wait as before. QuotaUsage has a type for CPUs and GPUs in place of a pair; the status page and the recall of machines ask the same gate as placement.

--- a/include/mosspath/cluster/quota_usage.h
+++ b/include/mosspath/cluster/quota_usage.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "mosspath/config/settings.h"
@@ -12,6 +11,11 @@
 
 namespace mosspath::cluster {
 
+struct QuotaAmount {
+  double cpus = 0;
+  double gpus = 0;
+};
+
 class QuotaUsage {
  public:
   explicit QuotaUsage(const std::vector<config::Team>& teams) : teams_(teams) {}
@@ -22,13 +26,22 @@
   void Remove(const std::string& team, double cpus, double gpus);
   void AddUnknownTask() { ++unknown_tasks_; }
   bool IsUnlimited(const std::string& team) const;
-  // Returns how many more tasks of the job fit into its team's quota. `settled` is true if all
-  // tasks of earlier leaders that may still run are charged.
-  size_t Headroom(const jobs::Job& job, bool settled) const;
+  // Returns how many more tasks of the job fit into its team's quota, of which `reserved` is left
+  // free. `settled` is true if all tasks of earlier leaders that may still run are charged.
+  size_t Headroom(const jobs::Job& job, bool settled, const QuotaAmount& reserved = {}) const;
+  // Returns by how much the team would exceed its quota if `tasks` more tasks of the job ran.
+  // Returns nothing while the team's usage is not certain.
+  QuotaAmount Excess(const jobs::Job& job, size_t tasks, bool settled) const;
 
  private:
+  // nullptr if the settings have no such team.
+  const config::Team* FindTeam(const std::string& name) const;
+  // The usage of tasks that are unknown or not charged yet may belong to any team.
+  bool IsCertain(bool settled) const { return settled && unknown_tasks_ == 0; }
+  QuotaAmount UsageOf(const std::string& team) const;
+
   const std::vector<config::Team> teams_;
-  std::map<std::string, std::pair<double, double>> usage_;  // cpus, gpus
+  std::map<std::string, QuotaAmount> usage_;
   size_t unknown_tasks_ = 0;
 };
 
--- a/include/mosspath/scheduler/preemption.h
+++ b/include/mosspath/scheduler/preemption.h
@@ -2,6 +2,9 @@
 // argument.
 #pragma once
 
+#include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "mosspath/cluster/cluster_state.h"
@@ -15,7 +18,8 @@
 namespace mosspath::scheduler {
 
 // Frees capacity for waiting jobs by stopping tasks of lower priority, beginning with those that
-// lose the least work. Only jobs of high priority and above preempt.
+// lose the least work. Only jobs of high priority and above preempt. If the quota of the team is
+// what a job of critical priority lacks, tasks of the same team are stopped.
 class Preemption {
  public:
   // The arguments outlive this object.
@@ -36,17 +40,29 @@
     const jobs::Job* job = nullptr;
   };
 
-  // Returns the CPUs that will be freed by stops already requested.
-  double StoppingCpus() const;
+  // What will be freed by stops already requested.
+  struct StoppingTasks {
+    double cpus = 0;
+    std::map<std::string, cluster::QuotaAmount> by_team;
+  };
+
+  StoppingTasks FindStoppingTasks() const;
   // Returns for how many seconds after the job's submission no task is stopped for the job.
   double PreemptionDelayS(const jobs::Job& job, double now) const;
   // Returns all tasks that may be stopped, the least loss first.
   std::vector<Victim> CollectVictims(double now);
-  // Returns whether the victim may be stopped for the job.
+  // Returns whether the victim may be stopped for the job, whatever its machine.
   bool MayStopFor(const jobs::Job& job, const Victim& victim, double now) const;
-  // Stops victims until they free `missing_cpus`, or no eligible victim is left.
-  void StopVictimsFor(const jobs::Job& job, double missing_cpus, std::vector<Victim>& victims,
-                      double now);
+  // Stops victims until they free `missing_cpus` that the job may use, or no eligible victim is
+  // left.
+  void FreeCpusFor(const jobs::Job& job, double missing_cpus, std::vector<Victim>& victims,
+                   double now);
+  // Stops victims of the job's team until they free the part of the quota that the job lacks, or no
+  // eligible victim is left. `stopping` is what the team's stopping tasks free, less what earlier
+  // jobs of the team take of it.
+  void FreeQuotaFor(const jobs::Job& job, cluster::QuotaAmount& stopping,
+                    std::vector<Victim>& victims, double now);
+  void StopVictim(const Victim& victim, const jobs::Job& job);
 
   const config::Settings& settings_;
   cluster::ClusterState& cluster_;
--- a/include/mosspath/scheduler/start_gate.h
+++ b/include/mosspath/scheduler/start_gate.h
@@ -13,6 +13,7 @@
 #include "mosspath/jobs/job.h"
 #include "mosspath/scheduler/durable_state.h"
 #include "mosspath/scheduler/failover.h"
+#include "mosspath/scheduler/quota_reservation.h"
 
 namespace mosspath::scheduler {
 
@@ -24,8 +25,8 @@
 
   // The references must outlive the gate. `token` is the fencing token of the term, or the number
   // of the shard lease.
-  StartGate(const cluster::QuotaUsage& quota, const Failover& failover, DurableState& durable_state,
-            uint64_t token);
+  StartGate(const cluster::QuotaUsage& quota, const QuotaReservation& reservation,
+            const Failover& failover, DurableState& durable_state, uint64_t token);
 
   // Sets the version above which jobs get a durable start marker before any of their tasks is
   // started, whichever controller leads. A leader that has begun to write markers goes on even if
@@ -40,14 +41,16 @@
   // Returns whether the job's start marker is durable or not needed. If neither is the case,
   // requests the write of the marker; callers therefore make this check last before a start.
   bool HasDurableStartMarker(jobs::Job& job);
-  // Returns how many of the job's pending tasks the team's limit allows to be placed now. A crash
-  // looping job runs one task at a time.
+  // Returns how many of the job's pending tasks the team's limit allows to be placed now.
   size_t PlaceableTasks(const jobs::Job& job) const;
+  // Returns by how much the team would exceed its limit if all RunnableTasks ran.
+  cluster::QuotaAmount QuotaExcess(const jobs::Job& job) const;
 
  private:
   bool NeedsStartMarker(const jobs::Job& job) const;
 
   const cluster::QuotaUsage& quota_;
+  const QuotaReservation& reservation_;
   const Failover& failover_;
   DurableState& durable_state_;
   const uint64_t token_;
--- a/include/mosspath/scheduler/task_placer.h
+++ b/include/mosspath/scheduler/task_placer.h
@@ -29,6 +29,7 @@
 #include "mosspath/scheduler/overdue_first_tasks.h"
 #include "mosspath/scheduler/placement_attempt.h"
 #include "mosspath/scheduler/preemption.h"
+#include "mosspath/scheduler/quota_reservation.h"
 #include "mosspath/scheduler/service_level_objectives.h"
 #include "mosspath/scheduler/shard_leases.h"
 #include "mosspath/scheduler/shard_map.h"
@@ -76,6 +77,8 @@
   static constexpr uint64_t kNever = StartGate::kNever;
   void SetMarkersSince(uint64_t version) { start_gate_.SetMarkersSince(version); }
   bool IsStartable(const jobs::Job& job) const { return start_gate_.IsStartable(job); }
+  // Returns whether the team's limit allows a pending task of the job to be placed now.
+  bool IsWithinQuota(const jobs::Job& job) const { return start_gate_.PlaceableTasks(job) > 0; }
   // Returns whether the job's constraints allow the machine, whatever its free capacity.
   bool IsAllowedOn(const jobs::Job& job, const cluster::Machine& machine, double now) const {
     return machine_filter_.IsAllowedOn(job, machine, now);
@@ -114,6 +117,7 @@
   const ShardMap shard_map_;
   FairShare fair_share_;
   CapacityReservation reservation_;
+  QuotaReservation quota_reservation_;
   StartGate start_gate_;
   MachineFilter machine_filter_;
   JobRanking job_ranking_;
--- a/src/scheduler/machine_handover.cc
+++ b/src/scheduler/machine_handover.cc
@@ -207,12 +207,11 @@
 }
 
 MachineHandover::UnplacedWork MachineHandover::UnplacedLeaderOnlyWork(double now) const {
-  const bool recovery_complete = state_.failover.recovery_complete();
   UnplacedWork work;
   for (const auto& [id, job] : state_.cluster.jobs) {
     if (job->pending.empty() || job->crash_looping || state_.placer.IsDelegable(*job)) continue;
     if (now < job->not_before || !state_.placer.IsStartable(*job)) continue;
-    if (state_.cluster.quota.Headroom(*job, recovery_complete) == 0) continue;
+    if (!state_.placer.IsWithinQuota(*job)) continue;
     work.cpus += static_cast<double>(job->pending.size()) * job->spec.cpus;
     if (work.oldest_job == nullptr || job->submitted_at < work.oldest_job->submitted_at) {
       work.oldest_job = job.get();
--- a/src/scheduler/preemption.cc
+++ b/src/scheduler/preemption.cc
@@ -8,7 +8,7 @@
 namespace mosspath::scheduler {
 
 using cluster::Allocation;
-using cluster::Machine;
+using cluster::QuotaAmount;
 using jobs::Job;
 
 namespace {
@@ -47,6 +47,15 @@
   return LossS(job, RunTimeS(allocation, now)) * allocation.cpus * weight;
 }
 
+bool LacksQuota(const QuotaAmount& missing) { return missing.cpus > 0 || missing.gpus > 0; }
+
+// Returns what is missing of `needed` after as much as possible of it is taken from `available`.
+double LessCovered(double needed, double& available) {
+  const double covered = std::min(needed, available);
+  available -= covered;
+  return needed - covered;
+}
+
 }  // namespace
 
 Preemption::Preemption(const config::Settings& settings, cluster::ClusterState& cluster,
@@ -60,30 +69,39 @@
       fair_share_(fair_share) {}
 
 void Preemption::Run(const std::vector<Job*>& ranked_jobs, double now) {
-  double stopping_cpus = StoppingCpus();
+  StoppingTasks stopping = FindStoppingTasks();
   std::optional<std::vector<Victim>> victims;
+  const auto collected_victims = [&]() -> std::vector<Victim>& {
+    if (!victims) victims = CollectVictims(now);
+    return *victims;
+  };
   for (const Job* job : ranked_jobs) {
     if (job->spec.priority < wire::Priority::kHigh) continue;
     if (now - job->submitted_at < PreemptionDelayS(*job, now)) continue;
-    double missing_cpus = static_cast<double>(start_gate_.PlaceableTasks(*job)) * job->spec.cpus;
-    const double covered = std::min(missing_cpus, stopping_cpus);
-    stopping_cpus -= covered;
-    missing_cpus -= covered;
-    if (missing_cpus <= 0) continue;
-    if (!victims) victims = CollectVictims(now);
-    StopVictimsFor(*job, missing_cpus, *victims, now);
+    const bool is_critical = job->spec.priority == wire::Priority::kCritical;
+    if (is_critical && LacksQuota(start_gate_.QuotaExcess(*job))) {
+      FreeQuotaFor(*job, stopping.by_team[job->spec.team], collected_victims(), now);
+    }
+    const double needed_cpus =
+        static_cast<double>(start_gate_.PlaceableTasks(*job)) * job->spec.cpus;
+    const double missing_cpus = LessCovered(needed_cpus, stopping.cpus);
+    if (missing_cpus > 0) FreeCpusFor(*job, missing_cpus, collected_victims(), now);
   }
 }
 
-double Preemption::StoppingCpus() const {
-  double cpus = 0;
+Preemption::StoppingTasks Preemption::FindStoppingTasks() const {
+  StoppingTasks stopping;
   for (const auto& [id, machine] : cluster_.machines) {
     if (!machine.has_pending_commands) continue;
     for (const auto& [key, allocation] : machine.allocations) {
-      if (allocation.stop_requested && !allocation.exited()) cpus += allocation.cpus;
+      if (!allocation.stop_requested || allocation.exited()) continue;
+      stopping.cpus += allocation.cpus;
+      cluster::QuotaAmount& team = stopping.by_team[allocation.team];
+      team.cpus += allocation.cpus;
+      team.gpus += allocation.gpus;
     }
   }
-  return cpus;
+  return stopping;
 }
 
 // Tasks end all the time even when all machines are full. Within one heartbeat interval, most
@@ -122,7 +140,6 @@
   if (victim_spec.priority >= job.spec.priority) return false;
   // A task whose stop would put its group below the fair-share floor would be placed again at once.
   if (!fair_share_.MayPreempt(*victim.job, victim.allocation->cpus)) return false;
-  if (!filter_.IsAllowedOn(job, *victim.machine, now)) return false;
   // A task without checkpoints loses all its work. It is stopped only while that work is little,
   // unless the waiting job is of critical priority.
   const bool loses_all = victim_spec.checkpoint_interval_s <= 0;
@@ -130,19 +147,39 @@
   return RunTimeS(*victim.allocation, now) <= kMaxLossShare * ExpectedRunS(*victim.job);
 }
 
-void Preemption::StopVictimsFor(const Job& job, double missing_cpus, std::vector<Victim>& victims,
-                                double now) {
-  for (Victim& victim : victims) {
+void Preemption::FreeCpusFor(const Job& job, double missing_cpus, std::vector<Victim>& victims,
+                             double now) {
+  for (const Victim& victim : victims) {
     if (missing_cpus <= 0) return;
     if (!MayStopFor(job, victim, now)) continue;
-    const double cpus = victim.allocation->cpus;
-    cluster::RequestStop(*victim.machine, *victim.allocation,
-                         victim.job->spec.checkpoint_duration_s);
-    fair_share_.OnPreempted(*victim.job, cpus);
-    missing_cpus -= cpus;
-    spdlog::debug("scheduler: preempting job={} machine={} for_job={}", victim.job->spec.id,
-                  victim.machine->id, job.spec.id);
+    if (!filter_.IsAllowedOn(job, *victim.machine, now)) continue;
+    StopVictim(victim, job);
+    missing_cpus -= victim.allocation->cpus;
   }
 }
 
+void Preemption::FreeQuotaFor(const Job& job, QuotaAmount& stopping, std::vector<Victim>& victims,
+                              double now) {
+  QuotaAmount missing = start_gate_.QuotaExcess(job);
+  missing.cpus = LessCovered(missing.cpus, stopping.cpus);
+  missing.gpus = LessCovered(missing.gpus, stopping.gpus);
+  for (const Victim& victim : victims) {
+    if (!LacksQuota(missing)) return;
+    const Allocation& allocation = *victim.allocation;
+    const bool helps =
+        (missing.cpus > 0 && allocation.cpus > 0) || (missing.gpus > 0 && allocation.gpus > 0);
+    if (!helps || allocation.team != job.spec.team || !MayStopFor(job, victim, now)) continue;
+    StopVictim(victim, job);
+    missing.cpus -= allocation.cpus;
+    missing.gpus -= allocation.gpus;
+  }
+}
+
+void Preemption::StopVictim(const Victim& victim, const Job& job) {
+  cluster::RequestStop(*victim.machine, *victim.allocation, victim.job->spec.checkpoint_duration_s);
+  fair_share_.OnPreempted(*victim.job, victim.allocation->cpus);
+  spdlog::debug("scheduler: preempting job={} machine={} for_job={}", victim.job->spec.id,
+                victim.machine->id, job.spec.id);
+}
+
 }  // namespace mosspath::scheduler
--- a/src/scheduler/start_gate.cc
+++ b/src/scheduler/start_gate.cc
@@ -6,9 +6,13 @@
 
 using jobs::Job;
 
-StartGate::StartGate(const cluster::QuotaUsage& quota, const Failover& failover,
-                     DurableState& durable_state, uint64_t token)
-    : quota_(quota), failover_(failover), durable_state_(durable_state), token_(token) {}
+StartGate::StartGate(const cluster::QuotaUsage& quota, const QuotaReservation& reservation,
+                     const Failover& failover, DurableState& durable_state, uint64_t token)
+    : quota_(quota),
+      reservation_(reservation),
+      failover_(failover),
+      durable_state_(durable_state),
+      token_(token) {}
 
 void StartGate::SetMarkersSince(uint64_t version) {
   markers_since_ = version;
@@ -36,10 +40,13 @@
 }
 
 size_t StartGate::PlaceableTasks(const Job& job) const {
-  const size_t headroom = quota_.Headroom(job, failover_.recovery_complete());
-  const size_t placeable = std::min<size_t>(headroom, job.pending.size());
-  if (!job.crash_looping) return placeable;
-  return std::min<size_t>(placeable, job.placed() == 0 ? 1 : 0);
+  const size_t headroom =
+      quota_.Headroom(job, failover_.recovery_complete(), reservation_.ReservedAgainst(job));
+  return std::min(headroom, RunnableTasks(job));
+}
+
+cluster::QuotaAmount StartGate::QuotaExcess(const Job& job) const {
+  return quota_.Excess(job, RunnableTasks(job), failover_.recovery_complete());
 }
 
 bool IsDelegable(const Job& job) {
--- a/src/scheduler/status_reporter.cc
+++ b/src/scheduler/status_reporter.cc
@@ -31,9 +31,7 @@
   if (!state_.placer.IsStartable(job)) return WaitingReason::kRecovery;
   if (job.crash_looping) return WaitingReason::kCrashLoop;
   if (now < job.not_before) return WaitingReason::kUnknownToAgents;
-  if (cluster.quota.Headroom(job, state_.failover.recovery_complete()) == 0) {
-    return WaitingReason::kQuota;
-  }
+  if (!state_.placer.IsWithinQuota(job)) return WaitingReason::kQuota;
   if (cluster.machine_types.empty()) return WaitingReason::kNoMachineTypes;
   return HasUsableMachine(job, now) ? WaitingReason::kMachinesBusy
                                     : WaitingReason::kNoUsableMachine;
--- a/src/scheduler/task_placer.cc
+++ b/src/scheduler/task_placer.cc
@@ -13,7 +13,8 @@
       shard_leases_(shard_leases),
       shard_map_(settings),
       fair_share_(settings.teams),
-      start_gate_(cluster.quota, failover, durable_state, token),
+      quota_reservation_(cluster.quota),
+      start_gate_(cluster.quota, quota_reservation_, failover, durable_state, token),
       machine_filter_(settings, reservation_),
       job_ranking_(settings, cluster, objectives, start_gate_, fair_share_),
       task_binder_(cluster, shard_leases, fair_share_, reservation_, token),
@@ -38,18 +39,21 @@
   std::erase(waiting_jobs_, &job);
   deficit_queue_.ForgetJob(job);
   overdue_first_tasks_.ForgetJob(job);
+  quota_reservation_.ForgetJob(job);
 }
 
 void TaskPlacer::ClearQueues() {
   waiting_jobs_.clear();
   deficit_queue_.Clear();
   overdue_first_tasks_.Clear();
+  quota_reservation_.Clear();
 }
 
 void TaskPlacer::RankQueues(double now) {
   waiting_jobs_ = job_ranking_.Rank(now);
   deficit_queue_.Refresh(waiting_jobs_);
   overdue_first_tasks_.Refresh(waiting_jobs_, now);
+  quota_reservation_.Refresh(waiting_jobs_);
 }
 
 void TaskPlacer::Place(double now) {
--- a/tests/preemption_test.cc
+++ b/tests/preemption_test.cc
@@ -1,6 +1,10 @@
 // Tests of the preemption of tasks of lower priority.
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <string>
+#include <vector>
+
 #include "scheduler_fixture.h"
 
 namespace mosspath::scheduler {
@@ -41,5 +45,84 @@
   EXPECT_EQ(batches[0].commands[0].type, wire::CommandType::kStop);
 }
 
+// The team "t" has a limit of 4 CPUs, which the tasks of a low-priority job on vm-1 take up. The
+// machine vm-2 is idle.
+class TeamLimitTest : public PreemptionTest {
+ protected:
+  TeamLimitTest() {
+    settings_.teams = {{"t", 0, /*cpus_max=*/4, 0, 0}};
+    leader_ = std::make_unique<Scheduler>(settings_, derived_, kToken, 0);
+    leader_->SetMachineTypes({type_});
+    SendTo("vm-1", 0);
+    leader_->Tick(0);
+    MakeRecordsDurable(*leader_);
+    leader_->AddJob(Job(1, kLowTasks, 1, wire::Priority::kLow), 11, 0);
+    leader_->Place(1);
+    for (const auto& start : Starts(SendTo("vm-1", 1))) running_.push_back(test::Running(start));
+    SendTo("vm-1", 2, running_);
+    SendTo("vm-2", 2);
+    leader_->Tick(2);
+    MakeRecordsDurable(*leader_);
+  }
+
+  HeartbeatAnswer SendTo(const std::string& id, double now,
+                         const std::vector<wire::TaskStatus>& tasks = {}) {
+    wire::Heartbeat heartbeat = NextHeartbeat(id, 1);
+    heartbeat.address = id + ":1";
+    heartbeat.tasks = tasks;
+    return leader_->OnHeartbeat(heartbeat, now);
+  }
+
+  // Runs a placement pass, and returns the starts in the answers to both machines' heartbeats.
+  std::vector<wire::Command> StartsAt(double now) {
+    leader_->Tick(now);
+    leader_->Place(now);
+    std::vector<wire::Command> starts = Starts(SendTo("vm-1", now, running_));
+    for (const auto& start : Starts(SendTo("vm-2", now))) starts.push_back(start);
+    return starts;
+  }
+
+  void MarkStopped(const wire::Command& stop) {
+    for (wire::TaskStatus& status : running_) {
+      if (status.task == stop.task) test::MarkExited(status, wire::ExitReason::kStopped);
+    }
+  }
+
+  static constexpr uint32_t kLowTasks = 6;
+  std::unique_ptr<Scheduler> leader_;
+  std::vector<wire::TaskStatus> running_;
+};
+
+TEST_F(TeamLimitTest, ACriticalJobAtItsTeamsLimitStopsLowerTasksOfTheTeam) {
+  ASSERT_EQ(running_.size(), 4u);
+  leader_->AddJob(Job(2, 1, 2, wire::Priority::kCritical), 12, 3);
+  leader_->Tick(6);
+  const auto stops = Stops(SendTo("vm-1", 6, running_));
+  ASSERT_EQ(stops.size(), 2u);
+  leader_->Tick(7);  // No more than these are stopped.
+  EXPECT_LE(Stops(SendTo("vm-1", 7, running_)).size(), 2u);
+}
+
+TEST_F(TeamLimitTest, WhatIsFreedUnderALimitGoesToTheCriticalJob) {
+  leader_->AddJob(Job(2, 1, 2, wire::Priority::kCritical), 12, 3);
+  leader_->Tick(6);
+  const auto stops = Stops(SendTo("vm-1", 6, running_));
+  ASSERT_EQ(stops.size(), 2u);
+  MarkStopped(stops[0]);
+  SendTo("vm-1", 7, running_);
+  EXPECT_TRUE(StartsAt(7.1).empty());  // A waiting task of the low-priority job would fit.
+  MarkStopped(stops[1]);
+  SendTo("vm-1", 8, running_);
+  const auto starts = StartsAt(8.1);
+  ASSERT_EQ(starts.size(), 1u);
+  EXPECT_EQ(starts[0].task.job, "req-2");
+}
+
+TEST_F(TeamLimitTest, AHighPriorityJobWaitsForItsTeamsLimit) {
+  leader_->AddJob(Job(2, 1, 2, wire::Priority::kHigh), 12, 3);
+  leader_->Tick(6);
+  EXPECT_TRUE(Stops(SendTo("vm-1", 6, running_)).empty());
+}
+
 }  // namespace
 }  // namespace mosspath::scheduler
