Tests: leaders are lost one after the other; the fake cloud deletes machines

A loopback test kills the leader six times in a row, with a job running and another cancelled just after each kill, and the controller comes back each time. MOSSPATH_PROGRAM_0 to _2 let a controller run another build, so that two versions can be run beside each other by hand.

Traced with the controllers' log: three idle machines had been returned, and the fake cloud, which acknowledged deletions without effect, answered each request for a machine with 'no capacity'. Now a deleted machine is gone with its tasks.

--- a/tests/fakes/fake_cloud.cc
+++ b/tests/fakes/fake_cloud.cc
@@ -52,6 +52,7 @@
   if (request.path == "/flavors") return HandleTypes(respond);
   if (request.path == "/hosts" && request.method == "GET") return HandleList(respond);
   if (request.path == "/hosts") return HandleRent(request, respond);
+  if (request.path == "/hosts/delete") return HandleDelete(request, respond);
   Respond(respond, 200, json::object());
 }
 
@@ -102,4 +103,15 @@
   Respond(respond, 200, rent_answers_[request_id]);
 }
 
+void FakeCloud::HandleDelete(const net::HttpRequest& request, const Responder& respond) {
+  const json body = json::parse(request.body);
+  for (const json& id : body.at("rigs")) {
+    auto deleted = agents_.extract(id.get<std::string>());
+    if (deleted.empty()) continue;
+    deleted.mapped()->set_contact(FakeAgent::Contact::kNone);
+    deleted_agents_.push_back(std::move(deleted.mapped()));
+  }
+  Respond(respond, 200, json::object());
+}
+
 }  // namespace mosspath::fakes
--- a/tests/fakes/fake_cloud.h
+++ b/tests/fakes/fake_cloud.h
@@ -14,9 +14,9 @@
 
 namespace mosspath::fakes {
 
-// Rents out a few machines. Each machine is a FakeAgent, which starts without a boot time. Requests
-// to delete machines are acknowledged but have no effect. Encodes the protocol's JSON without the
-// project's code.
+// Rents out a few machines. Each machine is a FakeAgent, which starts without a boot time. A
+// deleted machine is gone with its tasks at once. Encodes the protocol's JSON without the project's
+// code.
 class FakeCloud {
  public:
   // Passes all arguments on to the agents. `nodes`: addresses of the controllers. `heartbeat_s`:
@@ -43,12 +43,16 @@
   // id.
   void HandleRent(const net::HttpRequest& request, const Responder& respond);
 
+  void HandleDelete(const net::HttpRequest& request, const Responder& respond);
+
   asio::io_context& io_;
   const std::vector<std::string> nodes_;
   const double heartbeat_s_;
   const double run_s_;
   std::map<std::string, nlohmann::json> rent_answers_;  // by the id of the request
   std::map<std::string, std::unique_ptr<FakeAgent>> agents_;
+  // Kept without contact, since their callbacks may be pending.
+  std::vector<std::unique_ptr<FakeAgent>> deleted_agents_;
   std::unique_ptr<net::HttpServer> server_;
 };
 
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <fstream>
 
 #include "fakes/http_services.h"
@@ -21,6 +22,13 @@
 
 constexpr double kWaitLimitS = 60;
 
+// Returns the program of the controller. To run controllers of several versions beside each other,
+// set MOSSPATH_PROGRAM_0, MOSSPATH_PROGRAM_1 or MOSSPATH_PROGRAM_2 to the path of another build.
+std::string ProgramOf(int node) {
+  const char* other = std::getenv(("MOSSPATH_PROGRAM_" + std::to_string(node)).c_str());
+  return other == nullptr ? MOSSPATH_PROGRAM : other;
+}
+
 class Loopback : public ::testing::Test {
  protected:
   static constexpr int kNodes = 3;
@@ -89,7 +97,7 @@
 sockets = 500
 )";
     out.close();
-    std::string program = MOSSPATH_PROGRAM;
+    std::string program = ProgramOf(i);
     std::string option = "--config";
     std::string file = path;
     char* argv[] = {program.data(), option.data(), file.data(), nullptr};
@@ -341,6 +349,42 @@
   }
 }
 
+// The leader is killed again and again. Each time a job runs, another job is cancelled just after
+// the kill, and the killed controller comes back.
+TEST_F(Loopback, JobsAndCancellationsOutliveLeadersOneAfterTheOther) {
+  constexpr int kRounds = 6;
+  constexpr size_t kLongTasks = 4;
+  std::string leaders;
+  for (int round = 0; round < kRounds; ++round) {
+    int leader = kNoNode;
+    ASSERT_TRUE(WaitUntil([&] { return (leader = LeaderKnownTo(round % kNodes)) != kNoNode; }));
+    const int other = (leader + 1) % kNodes;
+    const std::string job = "req-00600" + std::to_string(round);
+    const std::string cancelled = "req-00700" + std::to_string(round);
+    cloud_.long_jobs.insert(cancelled);
+    EXPECT_EQ(Request(other, "POST", "/api/jobs", Job(cancelled, kLongTasks).dump()).first, 201);
+    EXPECT_TRUE(WaitUntil([&] { return cloud_.running(cancelled) == kLongTasks; }));
+    EXPECT_EQ(Request(other, "POST", "/api/jobs", Job(job, 10).dump()).first, 201);
+    Kill(leader);
+    EXPECT_TRUE(WaitUntil([&] {
+      return Request(other, "POST", "/api/jobs/" + cancelled + "/cancel")
+                 .second.value("stage", "") == "aborted";
+    }));
+    int next = kNoNode;
+    EXPECT_TRUE(WaitUntil([&] {
+      next = LeaderKnownTo(other);
+      return next != kNoNode && next != leader;
+    }));
+    leaders += std::to_string(leader) + ">" + std::to_string(next) + " ";
+    EXPECT_TRUE(WaitUntil([&] { return cloud_.running(cancelled) == 0; }));
+    EXPECT_TRUE(WaitUntil([&] { return JobStage(other, job) == "done"; }));
+    Start(leader);
+    EXPECT_TRUE(WaitUntil([&] { return JobStage(leader, job) == "done"; }));
+    EXPECT_EQ(JobStage(leader, cancelled), "aborted");
+  }
+  RecordProperty("leaders", leaders);
+}
+
 TEST_F(Loopback, AStoreOutageIsAnsweredAtOnceAndHeals) {
   state_.down = true;
   EXPECT_EQ(Request(0, "POST", "/api/jobs", Job("req-000005", 1).dump()).first, 503);
