--- a/src/autoscaler/scale_out.cc
+++ b/src/autoscaler/scale_out.cc
@@ -63,6 +63,7 @@
     return a.offer_count < b.offer_count;
   });
   std::vector<const Demand*> order;
+  order.reserve(ranked.size());
   for (const RankedDemand& entry : ranked) order.push_back(entry.demand);
   return order;
 }
