--- a/src/election/elector.cc
+++ b/src/election/elector.cc
@@ -140,7 +140,7 @@
       Evaluate();
     });
   };
-  client_.Commit(std::move(transaction), derived_.call_timeout_s, on_committed);
+  client_.Commit(transaction, derived_.call_timeout_s, on_committed);
 }
 
 void Elector::Resign(LeadershipLossReason reason) {
--- a/src/election/failure_detector.cc
+++ b/src/election/failure_detector.cc
@@ -73,6 +73,7 @@
 
 std::vector<wire::PeerHeartbeat::PeerContact> FailureDetector::PeerContacts(double now) const {
   std::vector<wire::PeerHeartbeat::PeerContact> contacts;
+  contacts.reserve(peers_.size());
   for (const auto& [name, peer] : peers_) contacts.push_back({name, SilenceOf(peer, now)});
   return contacts;
 }
