--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -118,7 +118,7 @@
   }
 
   static const http_parser_settings& Callbacks() {
-    static const http_parser_settings callbacks = [] {
+    static const http_parser_settings kCallbacks = [] {
       http_parser_settings s;
       http_parser_settings_init(&s);
       s.on_body = [](http_parser* p, const char* at, size_t n) {
@@ -136,7 +136,7 @@
       };
       return s;
     }();
-    return callbacks;
+    return kCallbacks;
   }
 
   void Finish(bool answered) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -101,7 +101,7 @@
   }
 
   static const http_parser_settings& Callbacks() {
-    static const http_parser_settings callbacks = [] {
+    static const http_parser_settings kCallbacks = [] {
       http_parser_settings s;
       http_parser_settings_init(&s);
       s.on_url = [](http_parser* p, const char* at, size_t n) {
@@ -128,7 +128,7 @@
       };
       return s;
     }();
-    return callbacks;
+    return kCallbacks;
   }
 
   int Fail(bool failed, int status) {
