--- a/src/service/admission_service.cc
+++ b/src/service/admission_service.cc
@@ -17,6 +17,7 @@
 
 std::vector<std::string> TeamNames(const std::vector<config::Team>& teams) {
   std::vector<std::string> names;
+  names.reserve(teams.size());
   for (const auto& t : teams) names.push_back(t.name);
   return names;
 }
--- a/src/service/completion_writer.cc
+++ b/src/service/completion_writer.cc
@@ -84,7 +84,7 @@
         {keys::Final(id), jobs::EncodeFinalRecord(jobs::JobStatus::kDone)});
   }
   context_.store.Commit(
-      std::move(transaction), context_.derived.user_deadline_s,
+      transaction, context_.derived.user_deadline_s,
       context_.term.Guard(
           [this, batch](const kvstore::TransactionResult& result) { OnCommitted(batch, result); }));
 }
@@ -119,7 +119,7 @@
   AddRecordChanges(transaction, changes);
   MarkBeingWritten(changes);
   context_.store.Commit(
-      std::move(transaction), context_.derived.user_deadline_s,
+      transaction, context_.derived.user_deadline_s,
       context_.term.Guard([this, changes](const kvstore::TransactionResult& result) {
         if (result.outcome != kvstore::Outcome::kDone) ForgetBeingWritten(changes);
       }));
--- a/src/service/controller.cc
+++ b/src/service/controller.cc
@@ -252,8 +252,7 @@
   transaction.conditions.push_back({key, 0});
   transaction.changes.push_back(
       {key, Json{{"batches", kRecordFormatVersion}, {"marks", kRecordFormatVersion}}});
-  store_.Commit(std::move(transaction), derived_.user_deadline_s,
-                [](const kvstore::TransactionResult&) {});
+  store_.Commit(transaction, derived_.user_deadline_s, [](const kvstore::TransactionResult&) {});
 }
 
 // ------------------------------------------------------------------ leadership
--- a/src/service/job_service.cc
+++ b/src/service/job_service.cc
@@ -141,18 +141,15 @@
     txn.conditions.push_back({keys::Final(id), 0});
     AddRecordChanges(txn, step.records);
     txn.changes.push_back({keys::Final(id), jobs::EncodeFinalRecord(JobStatus::kCancelled)});
-    store_.Commit(std::move(txn), remaining_s,
-                  [this, id, deadline, done](kvstore::TransactionResult r) {
-                    if (r.outcome == kvstore::Outcome::kDone) {
-                      spdlog::info("service: cancellation_learned job={} way=commit revision={}",
-                                   id, r.revision);
-                      OnCancellationLearned(id, r.revision);
-                      return done(JobStatus::kCancelled);
-                    }
-                    if (r.outcome == kvstore::Outcome::kConflict)
-                      return TryCancel(id, deadline, done);
-                    done(JobStatus::kUndetermined);
-                  });
+    store_.Commit(txn, remaining_s, [this, id, deadline, done](kvstore::TransactionResult r) {
+      if (r.outcome == kvstore::Outcome::kDone) {
+        spdlog::info("service: cancellation_learned job={} way=commit revision={}", id, r.revision);
+        OnCancellationLearned(id, r.revision);
+        return done(JobStatus::kCancelled);
+      }
+      if (r.outcome == kvstore::Outcome::kConflict) return TryCancel(id, deadline, done);
+      done(JobStatus::kUndetermined);
+    });
   });
 }
 
--- a/src/service/job_submitter.cc
+++ b/src/service/job_submitter.cc
@@ -121,6 +121,7 @@
                             std::to_string(++batch_count_);
     txn.conditions.push_back({key, 0});
     std::vector<wire::Json> entries;
+    entries.reserve(batch.size());
     for (const PendingJob& job : batch) entries.push_back(job.entry);
     txn.changes.push_back({key, jobs::JobRecords::EncodeBatch(std::move(entries))});
   } else {
@@ -128,7 +129,7 @@
   }
   ++transactions_in_flight_;
   const double remaining_s = batch.front().deadline - net::Now();
-  store_.Commit(std::move(txn), remaining_s,
+  store_.Commit(txn, remaining_s,
                 [this, batch = std::make_shared<std::deque<PendingJob>>(std::move(batch))](
                     const kvstore::TransactionResult& r) {
                   --transactions_in_flight_;
--- a/src/service/machine_type_cache.cc
+++ b/src/service/machine_type_cache.cc
@@ -60,10 +60,9 @@
   kvstore::Transaction txn;
   txn.conditions.push_back({keys::kLeader, elector_.token()});
   txn.changes.push_back({keys::kTypes, std::move(value)});
-  store_.Commit(std::move(txn), derived_.user_deadline_s,
-                [this](const kvstore::TransactionResult& r) {
-                  if (r.outcome != kvstore::Outcome::kDone) published_.clear();
-                });
+  store_.Commit(txn, derived_.user_deadline_s, [this](const kvstore::TransactionResult& r) {
+    if (r.outcome != kvstore::Outcome::kDone) published_.clear();
+  });
 }
 
 }  // namespace mosspath::service
--- a/src/service/operator_settings_api.cc
+++ b/src/service/operator_settings_api.cc
@@ -54,15 +54,14 @@
     kvstore::Transaction txn;
     txn.conditions.push_back({keys::kSettings, version});
     txn.changes.push_back({keys::kSettings, next});
-    store_.Commit(std::move(txn), derived_.user_deadline_s,
-                  [respond, next](kvstore::TransactionResult t) {
-                    if (t.outcome == kvstore::Outcome::kConflict) {
-                      return respond(ErrorResponse(409, "the settings have changed"));
-                    }
-                    if (t.outcome != kvstore::Outcome::kDone)
-                      return respond(RetryLaterResponse("can't change them now"));
-                    respond({200, Json{{"version", t.revision}, {"settings", next}}.dump()});
-                  });
+    store_.Commit(txn, derived_.user_deadline_s, [respond, next](kvstore::TransactionResult t) {
+      if (t.outcome == kvstore::Outcome::kConflict) {
+        return respond(ErrorResponse(409, "the settings have changed"));
+      }
+      if (t.outcome != kvstore::Outcome::kDone)
+        return respond(RetryLaterResponse("can't change them now"));
+      respond({200, Json{{"version", t.revision}, {"settings", next}}.dump()});
+    });
   });
 }
 
--- a/src/service/record_flusher.cc
+++ b/src/service/record_flusher.cc
@@ -46,7 +46,7 @@
   for (const auto& write : records.progress) {
     AddWrite(transaction, keys::Progress(write.pack), write);
   }
-  context_.store.Commit(std::move(transaction), context_.derived.user_deadline_s,
+  context_.store.Commit(transaction, context_.derived.user_deadline_s,
                         context_.term.Guard([this](const kvstore::TransactionResult& result) {
                           OnCommitted(result);
                         }));
--- a/src/service/shard_lease_service.cc
+++ b/src/service/shard_lease_service.cc
@@ -37,7 +37,7 @@
         {key, wire::Json{{"grant", change.store_lease}}, change.store_lease});
   }
   context_.store.Commit(
-      std::move(transaction), context_.derived.call_timeout_s,
+      transaction, context_.derived.call_timeout_s,
       context_.term.Guard([this, node = change.node](const kvstore::TransactionResult& result) {
         manager_.OnChangeWritten(node, result.outcome == kvstore::Outcome::kDone, net::Now());
       }));
--- a/src/service/shard_membership.cc
+++ b/src/service/shard_membership.cc
@@ -144,7 +144,7 @@
   transaction.conditions.push_back({key, holder_->lease()});
   transaction.changes.push_back({key, std::nullopt});
   StopHolding();
-  context_.store.Commit(std::move(transaction), context_.derived.call_timeout_s, IgnoreResult);
+  context_.store.Commit(transaction, context_.derived.call_timeout_s, IgnoreResult);
 }
 
 // Writes the offer to hold this controller's shard. The offer is attached to the store lease. So
@@ -167,7 +167,7 @@
   transaction.conditions.push_back({keys::kShardOffers + node, offer.version});
   transaction.changes.push_back(
       {keys::kShardOffers + node, wire::Json{{kStoreLeaseField, store_lease}}, store_lease});
-  context_.store.Commit(std::move(transaction), context_.derived.call_timeout_s, IgnoreResult);
+  context_.store.Commit(transaction, context_.derived.call_timeout_s, IgnoreResult);
 }
 
 void ShardMembership::HandOverTo(LeaderService& leader, uint64_t token, double now) {
@@ -183,7 +183,7 @@
   kvstore::Transaction transaction;
   transaction.conditions.push_back({keys::kLeader, token});
   transaction.changes.push_back({keys::kShardLeases + own, std::nullopt});
-  context_.store.Commit(std::move(transaction), context_.derived.call_timeout_s, IgnoreResult);
+  context_.store.Commit(transaction, context_.derived.call_timeout_s, IgnoreResult);
 }
 
 }  // namespace mosspath::service
