Names of the scheduler, the election and the autoscaler that needed explaining

machines_filtered, leader_reachable, InRemovalOrder, kNotReturnedSinceHandover, OnJobCancelled, on_job_cancelled, kLaterLeaderRequestedPromise. A promise request's result is an enumeration in place of two bools, and MachineOffer is a struct with names in place of a tuple. No text that leaves the process changes.

--- a/include/mosspath/autoscaler/scale_in.h
+++ b/include/mosspath/autoscaler/scale_in.h
@@ -51,7 +51,7 @@
   // CPUs of the on-demand machines.
   bool IsCoveredBySpot() const;
   // Returns the machines that are up, in the order in which they are removed.
-  std::vector<Removable> MostExpensiveFirst() const;
+  std::vector<Removable> InRemovalOrder() const;
   // Returns the free CPUs of the machine that the scale-out plan may have allotted to waiting work.
   double UsefulCpus(const FleetMachine& machine, const wire::MachineType& type) const;
   // Returns whether the machine is an on-demand machine whose work spot machines can take over.
--- a/include/mosspath/autoscaler/scaling_planner.h
+++ b/include/mosspath/autoscaler/scaling_planner.h
@@ -2,9 +2,9 @@
 // waiting demand and the present machines. Pure.
 #pragma once
 
+#include <compare>
 #include <map>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "mosspath/wire/messages.h"
@@ -54,7 +54,14 @@
   std::vector<std::string> cordon;    // machines that take only urgent tasks that fit nowhere else
 };
 
-using MachineOffer = std::tuple<std::string, std::string, bool>;  // type, zone, spot
+// What can be rented: machines of a type in a zone, as spot machines or on demand.
+struct MachineOffer {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+
+  auto operator<=>(const MachineOffer&) const = default;
+};
 
 struct ScalingInput {
   std::vector<wire::MachineType> types;
--- a/include/mosspath/election/leadership.h
+++ b/include/mosspath/election/leadership.h
@@ -39,16 +39,23 @@
 
 // Why a controller lost the leadership.
 enum class LeadershipLossReason {
-  kStoreLeaseEnded,    // the state service reports that the store lease has ended
-  kLeaderKeyChanged,   // the leader key was put again or deleted after this controller put it
-  kLeaderKeyNotOwn,    // after a reload the leader key is absent or attached to another lease
-  kLaterLeaderAsked,   // a peer requested a promise under a later token
+  kStoreLeaseEnded,   // the state service reports that the store lease has ended
+  kLeaderKeyChanged,  // the leader key was put again or deleted after this controller put it
+  kLeaderKeyNotOwn,   // after a reload the leader key is absent or attached to another lease
+  kLaterLeaderRequestedPromise,  // a peer requested a promise under a later token
   kViewIsStale,        // this controller resigned: it can't read changes of the state service
   kAgentsPartitioned,  // this controller resigned: most agents don't reach it
 };
 // Returns the reason as it is logged, in snake case.
 [[nodiscard]] std::string_view ToString(LeadershipLossReason reason);
 
+// How a peer's promise request was handled.
+enum class PromiseRequestResult {
+  kPromised,   // this controller will not lead for a short time
+  kRefused,    // this controller makes no promise
+  kMalformed,  // no correct controller can have sent the request
+};
+
 // How a peer's response to a promise request was handled.
 enum class PromiseResponseResult {
   // The response is a valid promise. A promise of an earlier round is reported so too, but has no
@@ -176,9 +183,11 @@
   // Peer: decides whether to promise the sender of the request not to lead for a short time. If
   // this controller leads under an earlier token than that of the request, its term ends.
   struct PromiseDecision {
-    bool promised = false;
-    bool well_formed = true;  // false: no correct controller can have sent the request
+    PromiseRequestResult result = PromiseRequestResult::kRefused;
     MaybeLoss loss;
+
+    [[nodiscard]] bool promised() const { return result == PromiseRequestResult::kPromised; }
+    [[nodiscard]] bool malformed() const { return result == PromiseRequestResult::kMalformed; }
   };
   [[nodiscard]] PromiseDecision OnPromiseRequest(const wire::PromiseRequest& request,
                                                  double contact, double now);
--- a/include/mosspath/jobs/job_index.h
+++ b/include/mosspath/jobs/job_index.h
@@ -55,7 +55,7 @@
   void AssumeReportedUpTo(uint64_t revision) { cancellations_.AssumeReportedUpTo(revision); }
   // Records that the job was cancelled at `revision`, which this controller may not have read yet.
   // The job's tasks must end now.
-  void OnCancellationLearned(const std::string& id, uint64_t revision, uint64_t read_revision);
+  void OnJobCancelled(const std::string& id, uint64_t revision, uint64_t read_revision);
   void OnEnded(const std::string& id, JobStatus end);
 
   // --- Queries ---
--- a/include/mosspath/scheduler/holder_sharding.h
+++ b/include/mosspath/scheduler/holder_sharding.h
@@ -41,9 +41,9 @@
   std::vector<wire::ShardMessage> AllClaims() const;
   // Returns to the leader the waiting tasks of each job that is in a crash loop or was delegated no
   // task for more than `patience_s` seconds, and the machines that are lost, or recalled and empty.
-  // Waiting tasks stay with this holder if `leader_hears` is false, that is, while the leader is
-  // unreachable.
-  void ReturnExcess(double patience_s, bool leader_hears, double now);
+  // Waiting tasks stay with this holder if `leader_reachable` is false, that is, while the leader
+  // is unreachable.
+  void ReturnExcess(double patience_s, bool leader_reachable, double now);
   // Returns a message with the CPUs of the tasks that wait with this holder. These include the
   // tasks in the leader's batches up to number `applied_batch`.
   wire::ShardMessage MakeLoadMessage(uint64_t applied_batch) const;
--- a/include/mosspath/scheduler/placement_attempt.h
+++ b/include/mosspath/scheduler/placement_attempt.h
@@ -63,7 +63,7 @@
   // Tries the scopes in order until no task remains to be placed.
   PlacementOutcome Run();
   // Returns how many machines have been filtered so far.
-  uint64_t candidates_scored() const { return candidates_scored_; }
+  uint64_t machines_filtered() const { return machines_filtered_; }
 
   // --- For PlaceArray, PlaceGang and PlaceService ---
   const jobs::Job& job() const { return job_; }
@@ -101,7 +101,7 @@
   const bool delegable_;
   size_t remaining_;
   std::string single_zone_;  // empty: any zone
-  uint64_t candidates_scored_ = 0;
+  uint64_t machines_filtered_ = 0;
 };
 
 }  // namespace mosspath::scheduler
--- a/include/mosspath/scheduler/scheduler.h
+++ b/include/mosspath/scheduler/scheduler.h
@@ -231,7 +231,7 @@
   // Return how many attempts to place tasks of a job were made so far, and how many candidate
   // machines these attempts examined.
   uint64_t placement_attempts() const { return state_.placer.placement_attempts(); }
-  uint64_t candidates_scored() const { return state_.placer.candidates_scored(); }
+  uint64_t machines_filtered() const { return state_.placer.machines_filtered(); }
   const cluster::Machines& machines() const { return state_.cluster.machines; }
   const cluster::Jobs& jobs() const { return state_.cluster.jobs; }
 
--- a/include/mosspath/scheduler/task_placer.h
+++ b/include/mosspath/scheduler/task_placer.h
@@ -92,7 +92,7 @@
   // Return how many attempts to place tasks of a job were made since construction, and how many
   // machines these attempts filtered.
   uint64_t placement_attempts() const { return placement_attempts_; }
-  uint64_t candidates_scored() const { return candidates_scored_; }
+  uint64_t machines_filtered() const { return machines_filtered_; }
 
  private:
   // Returns the machines of this pass.
@@ -133,7 +133,7 @@
   DeficitQueue deficit_queue_;
 
   uint64_t placement_attempts_ = 0;
-  uint64_t candidates_scored_ = 0;
+  uint64_t machines_filtered_ = 0;
 };
 
 }  // namespace mosspath::scheduler
--- a/include/mosspath/service/controller.h
+++ b/include/mosspath/service/controller.h
@@ -80,7 +80,7 @@
   void OnProcessStall(double from, double now);
   void OnMachineTypes(const Types& types);
   void OnOperatorSettings();
-  void OnCancelledAhead(const std::string& job);
+  void OnJobCancelled(const std::string& job);
   void UpdateBatching();
   [[nodiscard]] std::optional<wire::ShardFrame> OnShardFrame(const wire::ShardFrame& frame);
   [[nodiscard]] scheduler::StopSummary SummarizeStops();
--- a/include/mosspath/service/job_service.h
+++ b/include/mosspath/service/job_service.h
@@ -46,12 +46,12 @@
   }
   // The job was cancelled at `revision`, according to another controller or to a transaction that
   // this controller has committed. The watch cache may not contain the cancellation yet.
-  void OnCancellationLearned(const std::string& id, uint64_t revision);
+  void OnJobCancelled(const std::string& id, uint64_t revision);
   // Called with the id of a job when this controller receives the job's cancellation from a source
   // other than the watch cache. During an outage of the state service, the watch cache does not
   // receive the cancellation until the outage ends. The job's tasks must end at once, although the
   // cached job records still contain the job as not ended.
-  std::function<void(const std::string& id)> on_cancelled_ahead;
+  std::function<void(const std::string& id)> on_job_cancelled;
 
   // --- Requests of users ---
   void Lookup(const std::string& id, std::function<void(JobStatus)> done);
--- a/simulation/controller_election.cc
+++ b/simulation/controller_election.cc
@@ -58,9 +58,9 @@
   const wire::PromiseRequest request = wire::DecodePromiseRequest(text);
   const auto promise = leadership_->OnPromiseRequest(request, last_store_contact_, Now());
   OnLeadershipChange(promise.loss);
-  if (!promise.well_formed) return std::nullopt;
+  if (promise.malformed()) return std::nullopt;
   return wire::Encode(wire::PromiseResponse{
-      promise.promised, job_index_->cancellations().Since(request.read_revision)});
+      promise.promised(), job_index_->cancellations().Since(request.read_revision)});
 }
 
 // ---------------------------------------------------------------------------- store lease
--- a/simulation/controller_jobs.cc
+++ b/simulation/controller_jobs.cc
@@ -238,7 +238,7 @@
 }
 
 void SimulatedController::LearnCancelled(const std::string& id, uint64_t revision) {
-  job_index_->OnCancellationLearned(id, revision, jobs_revision_);
+  job_index_->OnJobCancelled(id, revision, jobs_revision_);
   StopTasksOf(id);
 }
 
--- a/src/autoscaler/scale_in.cc
+++ b/src/autoscaler/scale_in.cc
@@ -31,7 +31,7 @@
   required_free_cpus_ = RequiredFreeCpus();
   covered_by_spot_ = IsCoveredBySpot();
   ScaleInPlan plan;
-  for (const Removable& candidate : MostExpensiveFirst()) {
+  for (const Removable& candidate : InRemovalOrder()) {
     const FleetMachine& machine = *candidate.machine;
     if (!machine.schedulable) {
       if (machine.idle) plan.scale_in.push_back(machine.id);
@@ -78,7 +78,7 @@
   return spot_cpus >= tuning_.spot_cover * on_demand_cpus;
 }
 
-std::vector<ScaleInPlanner::Removable> ScaleInPlanner::MostExpensiveFirst() const {
+std::vector<ScaleInPlanner::Removable> ScaleInPlanner::InRemovalOrder() const {
   std::vector<Removable> order;
   for (const FleetMachine& machine : input_.machines) {
     const wire::MachineType* type = catalog_.FindType(machine.type);
--- a/src/election/leadership.cc
+++ b/src/election/leadership.cc
@@ -29,7 +29,7 @@
       return "leader_key_changed";
     case LeadershipLossReason::kLeaderKeyNotOwn:
       return "leader_key_not_own";
-    case LeadershipLossReason::kLaterLeaderAsked:
+    case LeadershipLossReason::kLaterLeaderRequestedPromise:
       return "later_leader_asked";
     case LeadershipLossReason::kViewIsStale:
       return "view_is_stale";
@@ -206,7 +206,7 @@
   // process may have confirmed, and so it could not list them in its response.
   if (!loaded_) return decision;
   if (!IsWellFormed(request, now)) {
-    decision.well_formed = false;
+    decision.result = PromiseRequestResult::kMalformed;
     return decision;
   }
   if (!IsDisconnected(contact, now)) return decision;
@@ -218,12 +218,12 @@
     if (request.token <= read_revision_ || request.token <= leader_key_.version) return decision;
     leader_key_ = {request.node, kvstore::kNoLease, request.token};
     had_leader_before_ = true;
-    if (leads()) decision.loss = StepDown(LeadershipLossReason::kLaterLeaderAsked);
+    if (leads()) decision.loss = StepDown(LeadershipLossReason::kLaterLeaderRequestedPromise);
     promises_.Invalidate();
   }
   if (leads()) return decision;
   promises_.Promise(now);
-  decision.promised = true;
+  decision.result = PromiseRequestResult::kPromised;
   return decision;
 }
 
--- a/src/jobs/job_index.cc
+++ b/src/jobs/job_index.cc
@@ -49,8 +49,7 @@
   }
 }
 
-void JobIndex::OnCancellationLearned(const std::string& id, uint64_t revision,
-                                     uint64_t read_revision) {
+void JobIndex::OnJobCancelled(const std::string& id, uint64_t revision, uint64_t read_revision) {
   cancellations_.Add(id, revision);
   OnEnded(id, JobStatus::kCancelled);
   ForgetReadCancellations(read_revision);
@@ -89,7 +88,7 @@
   const JobStatus end = ParseFinalRecord(*value);
   // This controller reports the end from now on, even if it has not read the revision of the final
   // record yet.
-  if (end == JobStatus::kCancelled) OnCancellationLearned(id, version, read_revision);
+  if (end == JobStatus::kCancelled) OnJobCancelled(id, version, read_revision);
   if (end != JobStatus::kUndetermined) OnEnded(id, end);
   return end;
 }
--- a/src/scheduler/holder_sharding.cc
+++ b/src/scheduler/holder_sharding.cc
@@ -24,7 +24,7 @@
 // The `count` of a kHandOverTasks message for a machine that this holder has not returned since the
 // handover. ShardHolder replaces the handover revision in the message by this value, or by 1 if
 // this holder has returned the machine.
-constexpr uint64_t kNoHandoverRevision = 0;
+constexpr uint64_t kNotReturnedSinceHandover = 0;
 
 }  // namespace
 
@@ -119,7 +119,7 @@
   // If this holder has already returned the machine, the holder can't find the tasks on
   // the machine, and their reconciliation would never end. The reconciliation is therefore ended at
   // once, as for a machine whose tasks are already determined.
-  const bool known = message.count != kNoHandoverRevision || IsMachineKnown(machine);
+  const bool known = message.count != kNotReturnedSinceHandover || IsMachineKnown(machine);
   const uint64_t reconciliation = state_.shard_leases.NextReconciliationId();
   for (const uint32_t index : message.tasks) {
     if (!CanAccept(*job, index) || ReclaimAllocation(*job, index)) continue;
@@ -240,7 +240,7 @@
   return claims;
 }
 
-void HolderSharding::ReturnExcess(double patience_s, bool leader_hears, double now) {
+void HolderSharding::ReturnExcess(double patience_s, bool leader_reachable, double now) {
   ReturnEndedTasks();
   ReturnMachines();
   migration_.MigrateFromDraining(now);
@@ -251,7 +251,7 @@
     // Tasks that have waited too long for capacity in this shard may fit on another shard's
     // machines.
     const bool waits_too_long = now - job.last_delegated_at > patience_s || job.crash_looping;
-    if (leader_hears && !job.pending.empty() && waits_too_long) ReturnWaitingTasks(job);
+    if (leader_reachable && !job.pending.empty() && waits_too_long) ReturnWaitingTasks(job);
     if (MayForgetJob(job, now)) {
       state_.placer.ForgetJob(job);
       jobs.erase(it);
--- a/src/scheduler/placement_attempt.cc
+++ b/src/scheduler/placement_attempt.cc
@@ -126,7 +126,7 @@
     if (!IsInScope(machine, scope)) continue;
     set.scope_gb += machine.image_cache.size_gb();
     ++set.scope_size;
-    ++candidates_scored_;
+    ++machines_filtered_;
     if (stages_.filter.Check(job_, machine, scope.tier, now_)) continue;
     if (!single_zone_.empty() && machine.zone != single_zone_) continue;
     set.candidates.push_back({i, MissingImageGb(job_, machine, stages_.cluster.machine_types),
--- a/src/scheduler/task_placer.cc
+++ b/src/scheduler/task_placer.cc
@@ -139,7 +139,7 @@
   ++placement_attempts_;
   PlacementAttempt attempt(stages_, job, pool, max_tasks, now);
   const PlacementOutcome outcome = attempt.Run();
-  candidates_scored_ += attempt.candidates_scored();
+  machines_filtered_ += attempt.machines_filtered();
   if (outcome == PlacementOutcome::kNoCapacity) unplaceable.Add(job);
   return outcome;
 }
--- a/src/service/controller.cc
+++ b/src/service/controller.cc
@@ -84,7 +84,7 @@
           [this] { return SummarizeStops(); }) {
   store_.on_malformed = on_malformed_;
   cloud_.on_malformed = on_malformed_;
-  jobs_.on_cancelled_ahead = [this](const std::string& job) { OnCancelledAhead(job); };
+  jobs_.on_job_cancelled = [this](const std::string& job) { OnJobCancelled(job); };
 }
 
 Controller::~Controller() {
@@ -351,7 +351,7 @@
   UpdateBatching();
 }
 
-void Controller::OnCancelledAhead(const std::string& job) {
+void Controller::OnJobCancelled(const std::string& job) {
   if (leader_) leader_->scheduler().RemoveJob(job, net::Now());
   if (auto* holder = shards_.holder()) holder->holder().OnJobEnded(job, net::Now());
 }
--- a/src/service/job_service.cc
+++ b/src/service/job_service.cc
@@ -56,9 +56,9 @@
   index_.OnFinalRecord(e.key.substr(keys::kFinal.size()), *e.value, e.version);
 }
 
-void JobService::OnCancellationLearned(const std::string& id, uint64_t revision) {
-  index_.OnCancellationLearned(id, revision, watch_cache_.revision());
-  if (on_cancelled_ahead) on_cancelled_ahead(id);
+void JobService::OnJobCancelled(const std::string& id, uint64_t revision) {
+  index_.OnJobCancelled(id, revision, watch_cache_.revision());
+  if (on_job_cancelled) on_job_cancelled(id);
 }
 
 void JobService::Lookup(const std::string& id, std::function<void(JobStatus)> done) {
@@ -75,7 +75,7 @@
       const uint64_t read = watch_cache_.loaded() ? watch_cache_.revision() : 0;
       const JobStatus known = index_.StatusFromFinalRecord(id, missing ? nullptr : &v.value,
                                                            v.version, revision_at_request, read);
-      if (known == JobStatus::kCancelled && on_cancelled_ahead) on_cancelled_ahead(id);
+      if (known == JobStatus::kCancelled && on_job_cancelled) on_job_cancelled(id);
       done(known);
     });
   });
@@ -144,7 +144,7 @@
     store_.Commit(txn, remaining_s, [this, id, deadline, done](kvstore::TransactionResult r) {
       if (r.outcome == kvstore::Outcome::kDone) {
         spdlog::info("service: cancellation_learned job={} way=commit revision={}", id, r.revision);
-        OnCancellationLearned(id, r.revision);
+        OnJobCancelled(id, r.revision);
         return done(JobStatus::kCancelled);
       }
       if (r.outcome == kvstore::Outcome::kConflict) return TryCancel(id, deadline, done);
--- a/src/service/peer_service.cc
+++ b/src/service/peer_service.cc
@@ -208,7 +208,7 @@
       spdlog::info("service: cancellation_learned job={} way=peer node={} revision={}", e.id,
                    peer.node, e.revision);
     }
-    jobs_.OnCancellationLearned(e.id, e.revision);
+    jobs_.OnJobCancelled(e.id, e.revision);
   }
 }
 
@@ -218,7 +218,7 @@
   try {
     request = wire::DecodePromiseRequest(r.body);
     decision = elector_.OnPromiseRequest(request, net::Now());
-    if (!decision.well_formed) throw wire::BadMessage("a node, token or revision that can't be");
+    if (decision.malformed()) throw wire::BadMessage("a node, token or revision that can't be");
   } catch (const std::exception& e) {
     // A leader may send several requests a second, so only the first malformed request since the
     // last valid request is logged.
@@ -229,7 +229,7 @@
   }
   bad_request_logged_ = false;
   respond(FrameResponse(wire::Encode(wire::PromiseResponse{
-      decision.promised, jobs_.cancellations().Since(request.read_revision)})));
+      decision.promised(), jobs_.cancellations().Since(request.read_revision)})));
 }
 
 }  // namespace mosspath::service
--- a/tests/job_end_model_test.cc
+++ b/tests/job_end_model_test.cc
@@ -118,7 +118,7 @@
         }
         if (cancel_stage_ != 2) return false;
         if (guard_ != Guard::kIgnoresOwnCancellation) {
-          canceller.index.OnCancellationLearned(kId, final_->second, canceller.read);
+          canceller.index.OnJobCancelled(kId, final_->second, canceller.read);
         }
         Report(JobStatus::kCancelled, *reported_before_cancellation_);
         if (canceller.index.FindLive(kId) != nullptr)
--- a/tests/job_service_test.cc
+++ b/tests/job_service_test.cc
@@ -47,7 +47,7 @@
                       .current = [](double) {}}),
         admission_(settings_),
         jobs_(io_, client_, watch_cache_, admission_, settings_, derived_) {
-    jobs_.on_cancelled_ahead = [this](const std::string& id) { ended_.push_back(id); };
+    jobs_.on_job_cancelled = [this](const std::string& id) { ended_.push_back(id); };
     store_.Put(keys::Job("req-1"), jobs::JobRecords::EncodeEntry(Spec("req-1"), 0));
     watch_cache_.Start();
     RunUntil([&] { return watch_cache_.loaded(); });
@@ -133,7 +133,7 @@
   ASSERT_NE(jobs_.FindLive("req-1"), nullptr);
   store_.down = true;
   const uint64_t revision = watch_cache_.revision() + 1;
-  jobs_.OnCancellationLearned("req-1", revision);
+  jobs_.OnJobCancelled("req-1", revision);
   EXPECT_EQ(ended_, std::vector<std::string>{"req-1"});
   EXPECT_EQ(jobs_.FindLive("req-1"), nullptr);
   EXPECT_NE(jobs_.records().Find("req-1"), nullptr);
@@ -146,7 +146,7 @@
 // the job as live kept running the job, although the user had received the confirmation of the
 // cancellation.
 TEST_F(JobServiceTest, AJobCancelledBeforeItsAcceptanceIsSeenIsNotAccepted) {
-  jobs_.OnCancellationLearned("req-3", watch_cache_.revision() + 2);
+  jobs_.OnJobCancelled("req-3", watch_cache_.revision() + 2);
   store_.Put(keys::Job("req-3"), jobs::JobRecords::EncodeEntry(Spec("req-3"), 0));
   RunUntil([&] { return jobs_.records().Find("req-3") != nullptr; });
   EXPECT_EQ(accepted_, std::vector<std::string>{"req-1"});
--- a/tests/leadership_model_test.cc
+++ b/tests/leadership_model_test.cc
@@ -213,8 +213,8 @@
       const auto request =
           wire::DecodePromiseRequest(wire::Encode(controller.leadership->MakePromiseRequest()));
       const auto promise = peer.leadership->OnPromiseRequest(request, peer.contact, now_);
-      if (!promise.well_formed) continue;
-      wire::PromiseResponse response{promise.promised,
+      if (promise.malformed()) continue;
+      wire::PromiseResponse response{promise.promised(),
                                      peer.cancellations->Since(request.read_revision)};
       if (omitted_guard_ == OmittedGuard::kNewestCancellation)
         response.cancellations = {0, 0, request.read_revision, {}};
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -54,7 +54,7 @@
   }
   bool GetsPromise(uint64_t token, double contact, double now,
                    const std::string& sender = "hut-1") {
-    return leadership_.OnPromiseRequest({sender, token, 0}, contact, now).promised;
+    return leadership_.OnPromiseRequest({sender, token, 0}, contact, now).promised();
   }
 
   const config::Settings settings_;
@@ -223,7 +223,7 @@
   EXPECT_FALSE(GetsPromise(50, 10, 20));  // Token 50 is this controller's own.
   EXPECT_EQ(leadership_.token(), 50u);
   const auto promise = leadership_.OnPromiseRequest({"hut-1", 60, 0}, 10, 20);
-  EXPECT_TRUE(promise.promised);
+  EXPECT_TRUE(promise.promised());
   ASSERT_TRUE(promise.loss);
   EXPECT_EQ(promise.loss->token, 50u);
   EXPECT_EQ(leadership_.token(), 0u);
@@ -238,11 +238,11 @@
 
 TEST_F(LeadershipTest, ImplausibleRequestsGetNoPromise) {
   Follow();
-  EXPECT_FALSE(leadership_.OnPromiseRequest({"hut-1", 1'000'000, 0}, 0, 20).well_formed);
-  EXPECT_FALSE(leadership_.OnPromiseRequest({"hut-1", 90, 1'000'000}, 0, 20).well_formed);
-  EXPECT_FALSE(leadership_.OnPromiseRequest({"hut-9", 90, 0}, 0, 20).well_formed);
-  EXPECT_FALSE(leadership_.OnPromiseRequest({"hut-1", 0, 0}, 0, 20).well_formed);
-  EXPECT_TRUE(leadership_.OnPromiseRequest({"hut-1", 90, 0}, 0, 20).well_formed);
+  EXPECT_TRUE(leadership_.OnPromiseRequest({"hut-1", 1'000'000, 0}, 0, 20).malformed());
+  EXPECT_TRUE(leadership_.OnPromiseRequest({"hut-1", 90, 1'000'000}, 0, 20).malformed());
+  EXPECT_TRUE(leadership_.OnPromiseRequest({"hut-9", 90, 0}, 0, 20).malformed());
+  EXPECT_TRUE(leadership_.OnPromiseRequest({"hut-1", 0, 0}, 0, 20).malformed());
+  EXPECT_FALSE(leadership_.OnPromiseRequest({"hut-1", 90, 0}, 0, 20).malformed());
   Leadership leader(settings_, derived_, 0);
   leader.OnStoreLeaseGranted(7, 10);
   leader.OnLoaded(true);
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -187,23 +187,23 @@
     scheduler_.OnRecordsWritten(1, 0);
   }
   EXPECT_LE(writes, 1 + machines / 170);  // a machine's entry takes about 30 bytes
-  uint64_t scored = scheduler_.candidates_scored();
+  uint64_t scored = scheduler_.machines_filtered();
   scheduler_.AddJob(Job(1, 700, 1, wire::Priority::kNormal), 11, 0);
   scheduler_.Place(2);
   EXPECT_EQ(scheduler_.Counts("req-1").running, 700u);
-  EXPECT_LE(scheduler_.candidates_scored() - scored, machines);
+  EXPECT_LE(scheduler_.machines_filtered() - scored, machines);
   // The job has more tasks than the machines have room for.
   scheduler_.AddJob(Job(2, static_cast<uint32_t>(5 * machines), 1, wire::Priority::kNormal), 11, 0);
   scheduler_.Place(3);
-  scored = scheduler_.candidates_scored();
+  scored = scheduler_.machines_filtered();
   for (int i = 0; i < 300; ++i)
     scheduler_.AddJob(Job(100 + i, 600, 1, wire::Priority::kNormal), 11, 0);
   scheduler_.Place(4);
-  EXPECT_LE(scheduler_.candidates_scored() - scored, machines);
+  EXPECT_LE(scheduler_.machines_filtered() - scored, machines);
   // After a heartbeat, the scheduler places tasks on that machine and filters no other machine.
-  scored = scheduler_.candidates_scored();
+  scored = scheduler_.machines_filtered();
   SendHeartbeat(ids[0], 5);
-  EXPECT_LE(scheduler_.candidates_scored() - scored, machines);
+  EXPECT_LE(scheduler_.machines_filtered() - scored, machines);
 }
 
 INSTANTIATE_TEST_SUITE_P(Machines, LargestClusterTest, ::testing::Values(1500, 4500));
