Senders use the path constants

The paths of the cloud, of commands to agents and of messages between controllers stood as text at eight places beside the constants that golden_paths_test checks.

--- a/src/service/cloud_client.cc
+++ b/src/service/cloud_client.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "mosspath/net/timer.h"
-
+#include "mosspath/service/http_paths.h"
 namespace mosspath::service {
 namespace {
 
@@ -46,19 +46,20 @@
 }
 
 void CloudClient::ListMachineTypes(std::function<void(bool, std::vector<wire::MachineType>)> done) {
-  Send("GET", "/flavors", {}, [this, done = std::move(done)](int status, const wire::Json& j) {
-    std::vector<wire::MachineType> types;
-    const bool ok = status == 200 && net::TryRead(kCloud, "flavors", on_malformed,
-                                                  [&] { types = wire::ParseMachineTypes(j); });
-    done(ok, std::move(types));
-  });
+  Send("GET", std::string(paths::kCloudMachineTypes), {},
+       [this, done = std::move(done)](int status, const wire::Json& j) {
+         std::vector<wire::MachineType> types;
+         const bool ok = status == 200 && net::TryRead(kCloud, "flavors", on_malformed,
+                                                       [&] { types = wire::ParseMachineTypes(j); });
+         done(ok, std::move(types));
+       });
 }
 
 void CloudClient::Rent(const wire::RentRequest& r,
                        std::function<void(Outcome, std::vector<std::string>)> done,
                        net::HttpClient::StillWanted still_wanted) {
   Send(
-      "POST", "/hosts", wire::ToJson(r).dump(),
+      "POST", std::string(paths::kCloudMachines), wire::ToJson(r).dump(),
       [this, done = std::move(done)](int status, const wire::Json& j) {
         std::vector<std::string> machines;
         if (status == 200) {
@@ -78,7 +79,7 @@
                          std::function<void(Outcome)> done,
                          net::HttpClient::StillWanted still_wanted) {
   Send(
-      "POST", "/hosts/delete", wire::DeleteRequest(machines).dump(),
+      "POST", std::string(paths::kCloudDeleteMachines), wire::DeleteRequest(machines).dump(),
       [done = std::move(done)](int status, const wire::Json&) {
         done(status == 200 ? Outcome::kDone
                            : (status == 0 ? Outcome::kUndetermined : Outcome::kRefused));
--- a/src/service/command_client.cc
+++ b/src/service/command_client.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "mosspath/service/http_paths.h"
 #include "mosspath/wire/json.h"
 
 namespace mosspath::service {
@@ -52,7 +53,7 @@
   std::string body =
       wire::DirectCommands(batch.fencing_token, batch.agent_epoch, batch.commands).dump();
   agent->Send(
-      "POST", "/commands", std::move(body), timeout_s,
+      "POST", std::string(paths::kAgentCommands), std::move(body), timeout_s,
       [batch = std::move(batch), on_malformed = std::move(on_malformed),
        done = std::move(done)](const net::HttpResult& r) {
         auto outcome = scheduler::CommandOutcome::kUndetermined;
--- a/src/service/peer_service.cc
+++ b/src/service/peer_service.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "mosspath/service/http_paths.h"
 #include "mosspath/wire/promise_frame.h"
 
 namespace mosspath::service {
@@ -53,11 +54,11 @@
 
 bool PeerService::Answer(const net::HttpRequest& r, const Responder& respond) {
   if (r.method != "POST") return false;
-  if (r.path == "/peer/v1/presence") {
+  if (r.path == paths::kPeerHeartbeat) {
     OnHeartbeat(r, respond);
-  } else if (r.path == "/peer/v1/digest") {
+  } else if (r.path == paths::kPeerStatusSnapshot) {
     OnSnapshot(r, respond);
-  } else if (r.path == "/peer/v1/vouch") {
+  } else if (r.path == paths::kPeerPromise) {
     OnPromiseRequest(r, respond);
   } else {
     return false;
@@ -87,8 +88,8 @@
   }
   for (auto& connection : peers_) {
     connection->updates.Send(
-        "POST", "/peer/v1/presence", connection->supports_demand ? with_demand : frame,
-        2 * failure_detector_.interval_s(),
+        "POST", std::string(paths::kPeerHeartbeat),
+        connection->supports_demand ? with_demand : frame, 2 * failure_detector_.interval_s(),
         [this, peer = connection.get(), requested_at = now](const net::HttpResult& r) {
           // A peer of an earlier version answers with an empty body and can't parse a
           // heartbeat with a demand. After an answer without a valid plan, no demand is
@@ -122,8 +123,8 @@
   if (!own_snapshot) return;
   const std::string frame = wire::Encode(*own_snapshot);
   for (auto& connection : peers_) {
-    connection->updates.Send("POST", "/peer/v1/digest", frame, settings_.heartbeat_s,
-                             [](const net::HttpResult&) {});
+    connection->updates.Send("POST", std::string(paths::kPeerStatusSnapshot), frame,
+                             settings_.heartbeat_s, [](const net::HttpResult&) {});
   }
 }
 
@@ -166,7 +167,7 @@
   return it == counts_.end() ? scheduler::JobCounts{} : it->second;
 }
 
-// While the state service does not answer this leader, requests from each peer a promise not to
+// While the key-value store does not answer this leader, requests from each peer a promise not to
 // lead.
 void PeerService::RequestPromises() {
   promise_timer_.After(derived_.promise_s / 4, [this] { RequestPromises(); });
@@ -175,7 +176,7 @@
   const std::string frame = wire::Encode(elector_.MakePromiseRequest());
   for (auto& connection : peers_) {
     connection->promises.Send(
-        "POST", "/peer/v1/vouch", frame, derived_.promise_s,
+        "POST", std::string(paths::kPeerPromise), frame, derived_.promise_s,
         [this, round = *round, peer = connection.get()](const net::HttpResult& r) {
           if (r.status == 200) OnPromiseResponse(round, *peer, r.body);
         });
