--- a/include/mosspath/admission/admission_controller.h
+++ b/include/mosspath/admission/admission_controller.h
@@ -1,8 +1,8 @@
 // Admission control of jobs: one budget of tasks for the whole service. Each controller keeps
-// a view of the accepted jobs: what the controller has read of the state service, up to a revision.
-// All controllers apply the budget to the same replicated data, so they compute the same limits
-// without coordination. No I/O: changes of the view, requests and the time are the inputs, and
-// verdicts are the outputs.
+// a view of the accepted jobs: what the controller has read of the key-value store, up to a
+// revision. All controllers apply the budget to the same replicated data, so they compute the same
+// limits without coordination. No I/O: changes of the view, requests and the time are the inputs,
+// and verdicts are the outputs.
 //
 // Each team is assured a part of the budget, in proportion to its weight; the assured parts sum to
 // kAssuredShare of the budget. The rest is allotted by a dynamic threshold (Choudhury and Hahne,
--- a/include/mosspath/admission/admission_plan.h
+++ b/include/mosspath/admission/admission_plan.h
@@ -1,7 +1,7 @@
 // Admission shares: the part of the free budget that each controller may fill before the jobs that
-// the other controllers have accepted appear in its view (what the controller has read of the state
-// service). The leader plans the shares by demand. A controller requests a plan in each of its
-// presence messages, and the response contains the plan. No I/O; the time is an argument.
+// the other controllers have accepted appear in its view (what the controller has read of the
+// key-value store). The leader plans the shares by demand. A controller requests a plan in each of
+// its presence messages, and the response contains the plan. No I/O; the time is an argument.
 //
 // Invariants (docs/admission.md):
 //   - the shares in force on all controllers sum to at most kPlannedFraction at any instant. A
@@ -20,7 +20,7 @@
 namespace mosspath::admission {
 
 // Share of the free budget that all controllers together may fill. The rest allows for views that
-// lag behind the state service.
+// lag behind the key-value store.
 inline constexpr double kPlannedFraction = 0.5;
 
 // Returns the share that a controller may always fill, with or without a plan.
--- a/include/mosspath/config/settings.h
+++ b/include/mosspath/config/settings.h
@@ -85,8 +85,8 @@
 inline constexpr double kMaxClockDrift = 0.0005;
 
 // Durations in seconds that follow from the settings. A controller's view of the jobs is what the
-// controller has read of the state service. The view's age bounds what the view may lack: a view of
-// age T contains everything that was confirmed to users more than T ago.
+// controller has read of the key-value store. The view's age bounds what the view may lack: a view
+// of age T contains everything that was confirmed to users more than T ago.
 struct DerivedSettings {
   explicit DerivedSettings(const Settings& s);
 
@@ -107,7 +107,7 @@
   double scaling_interval_s;       // minimum time between two scaling plans
   double catch_up_interval_s;      // minimum time between two catch-up reads
   double watch_s;                  // maximum time for which a watch request stays open
-  double call_timeout_s;           // timeout of a request to the state service
+  double call_timeout_s;           // timeout of a request to the key-value store
   double cloud_timeout_s;          // timeout of a request to the cloud
   double machine_list_interval_s;  // interval of machine list requests to the cloud
   double user_deadline_s;          // a user's request is answered within this time
--- a/include/mosspath/election/cancellation_log.h
+++ b/include/mosspath/election/cancellation_log.h
@@ -1,6 +1,6 @@
 // The log of the job cancellations that a controller may have confirmed to its users. A peer adds
 // to its leadership promise those entries that the leader has not read yet (docs/design.md, "The
-// state service refuses the leader alone, and then everybody"). Does no I/O.
+// key-value store refuses the leader alone, and then everybody"). Does no I/O.
 //
 // Invariant: each cancellation that this process has confirmed to a user, or that the previous
 // process may have confirmed, has a revision of at most newest(). The log holds the job id of each
@@ -24,8 +24,8 @@
 
   // Records that the previous process may have confirmed any cancellation up to `revision`.
   void AssumeReportedUpTo(uint64_t revision);
-  // Adds the cancellation of job `id`, which the state service stored at `revision`. Must be called
-  // before the cancellation is confirmed to any user.
+  // Adds the cancellation of job `id`, which the key-value store stored at `revision`. Must be
+  // called before the cancellation is confirmed to any user.
   void Add(const std::string& id, uint64_t revision);
 
   [[nodiscard]] uint64_t newest() const { return newest_; }
--- a/include/mosspath/election/elector.h
+++ b/include/mosspath/election/elector.h
@@ -1,4 +1,4 @@
-// Leader election over the state service's leases (as in etcd: lease, election). The elector
+// Leader election over the key-value store's leases (as in etcd: lease, election). The elector
 // obtains and renews this controller's store lease and campaigns for the leader key. The leader key
 // is attached to that lease, and its version is the fencing token of the term. This class does the
 // I/O and runs the timers; election/leadership makes the decisions.
@@ -38,10 +38,11 @@
   // `fresh`: no key other than final records was read, so no controller has ever led.
   void OnCacheLoaded(bool fresh);
   // The watch cache holds every change up to `revision`, and with that everything that was written
-  // to the state service before `as_of`.
+  // to the key-value store before `as_of`.
   void OnReadUpTo(double as_of, uint64_t revision) { leadership_.OnReadUpTo(as_of, revision); }
-  // The leader has sent the age of its view (what it has read of the state service), and the watch
-  // cache holds all cancellations of that view: those that were confirmed to users before `as_of`.
+  // The leader has sent the age of its view (what it has read of the key-value store), and the
+  // watch cache holds all cancellations of that view: those that were confirmed to users before
+  // `as_of`.
   void OnLeaderView(double as_of) { leadership_.OnLeaderView(as_of); }
 
   // Resigns at once, so that another controller can be elected. Has no effect on a follower.
--- a/include/mosspath/election/failure_detector.h
+++ b/include/mosspath/election/failure_detector.h
@@ -28,20 +28,20 @@
   // True if the last heartbeat of the peer `node` arrived more than several heartbeat intervals
   // ago. False if no heartbeat of that peer has ever arrived.
   [[nodiscard]] bool IsSuspected(const std::string& node, double now) const;
-  // When the state service last answered any peer, according to the peers' heartbeats.
+  // When the key-value store last answered any peer, according to the peers' heartbeats.
   [[nodiscard]] std::optional<double> state_contact() const { return state_contact_; }
   // True if a heartbeat of each peer has arrived before, and all peers are suspected now.
   [[nodiscard]] bool IsIsolated(double now) const;
   // Whether the load balancer should route users to this controller. `state_contact` is when the
-  // state service last answered this controller. If that was less than `contact_timeout_s` ago, the
-  // state service is taken to be reachable.
+  // key-value store last answered this controller. If that was less than `contact_timeout_s` ago,
+  // the key-value store is taken to be reachable.
   //
-  // If the state service is down for all controllers, this controller stays in the load
+  // If the key-value store is down for all controllers, this controller stays in the load
   // balancer: withdrawing would only move its users to controllers with the same outage. If the
-  // state service refuses only this controller, this controller withdraws, since the peers can
-  // serve the users. An isolated controller that can't reach the state service withdraws too:
-  // without heartbeats it can't tell whether the state service still answers the peers. If the
-  // state service does, this controller would answer 503 to users that the peers could serve.
+  // key-value store refuses only this controller, this controller withdraws, since the peers can
+  // serve the users. An isolated controller that can't reach the key-value store withdraws too:
+  // without heartbeats it can't tell whether the key-value store still answers the peers. If the
+  // key-value store does, this controller would answer 503 to users that the peers could serve.
   [[nodiscard]] bool ShouldServeUsers(double state_contact, double contact_timeout_s,
                                       double now) const;
   // Seconds since the last heartbeat of each peer; wire::kNeverS if none has arrived.
--- a/include/mosspath/election/leadership.h
+++ b/include/mosspath/election/leadership.h
@@ -39,11 +39,11 @@
 
 // Why a controller lost the leadership.
 enum class LeadershipLossReason {
-  kStoreLeaseEnded,   // the state service reports that the store lease has ended
+  kStoreLeaseEnded,   // the key-value store reports that the store lease has ended
   kLeaderKeyChanged,  // the leader key was put again or deleted after this controller put it
   kLeaderKeyNotOwn,   // after a reload the leader key is absent or attached to another lease
   kLaterLeaderRequestedPromise,  // a peer requested a promise under a later token
-  kViewIsStale,        // this controller resigned: it can't read changes of the state service
+  kViewIsStale,        // this controller resigned: it can't read changes of the key-value store
   kAgentsPartitioned,  // this controller resigned: most agents don't reach it
 };
 // Returns the reason as it is logged, in snake case.
@@ -96,7 +96,7 @@
     return store_lease_clock_.RemainingS(now);
   }
 
-  // --- The leader key, as read from the state service ---
+  // --- The leader key, as read from the key-value store ---
   struct LeaderKey {
     std::string node;
     uint64_t store_lease = kvstore::kNoLease;
@@ -105,11 +105,11 @@
   // Discards the leader key that was read; a reload of the watch cache follows.
   void Reset();
   MaybeLoss OnLeaderKey(const LeaderKey& key);
-  // The watch cache has loaded the leader key and all other keys. `fresh`: the state service has
+  // The watch cache has loaded the leader key and all other keys. `fresh`: the key-value store has
   // no key other than final records, so no controller has ever led.
   MaybeLoss OnLoaded(bool fresh);
   // This controller has read every change up to `revision`, and with that everything that was
-  // written to the state service before `as_of`.
+  // written to the key-value store before `as_of`.
   void OnReadUpTo(double as_of, uint64_t revision);
 
   // --- The next step ---
@@ -142,7 +142,7 @@
     return leads() && store_lease_clock_.Holds(now) && staleness_.IsAging(now);
   }
   [[nodiscard]] bool MayResign(double now) const { return resignation_backoff_.MayResign(now); }
-  // Whether this controller may act on what it has read of the jobs in the state service, whether
+  // Whether this controller may act on what it has read of the jobs in the key-value store, whether
   // it leads or not.
   [[nodiscard]] bool ViewIsFresh(double now) const { return staleness_.IsFresh(now); }
   [[nodiscard]] double view_age_s(double now) const { return staleness_.age_s(now); }
@@ -161,14 +161,14 @@
   // has not been read.
   [[nodiscard]] uint64_t leader_token() const { return leader_key_.version; }
 
-  // --- Outages of the state service. `contact` is when the last request that the state service
+  // --- Outages of the key-value store. `contact` is when the last request that the key-value store
   // answered was sent ---
   [[nodiscard]] bool IsDisconnected(double contact, double now) const {
     return now - contact > kMissedRenewals * derived_.store_lease_renew_s;
   }
   // Leader: begins a round of promise requests and returns its number; the caller sends the
   // requests. Returns nothing if no round is needed or allowed: this controller does not lead, is
-  // reloading the watch cache, or reaches the state service.
+  // reloading the watch cache, or reaches the key-value store.
   [[nodiscard]] std::optional<uint64_t> BeginPromiseRound(double contact, double now);
   [[nodiscard]] wire::PromiseRequest MakePromiseRequest() const {
     return {node_, token_, read_revision_};
@@ -193,7 +193,7 @@
                                                  double contact, double now);
 
  private:
-  // This controller is disconnected from the state service after this many renewal intervals
+  // This controller is disconnected from the key-value store after this many renewal intervals
   // without contact.
   static constexpr double kMissedRenewals = 1.5;
 
@@ -208,7 +208,7 @@
   // controllers to campaign. Returns nothing if this controller may campaign now.
   std::optional<double> CampaignDelay(double now);
   MaybeLoss StepDown(LeadershipLossReason reason);
-  // Whether the state service can have reached `revision` by `now`, given the revision that this
+  // Whether the key-value store can have reached `revision` by `now`, given the revision that this
   // controller has read last and the limit on the rate of changes.
   [[nodiscard]] bool IsPlausibleRevision(uint64_t revision, double now) const;
   [[nodiscard]] bool IsWellFormed(const wire::PromiseRequest& request, double now) const;
--- a/include/mosspath/election/leadership_promises.h
+++ b/include/mosspath/election/leadership_promises.h
@@ -1,4 +1,4 @@
-// Lets a leader continue to act while the state service is down for all controllers: the peers
+// Lets a leader continue to act while the key-value store is down for all controllers: the peers
 // promise the leader not to lead for a short time. docs/design.md, "Outages of the store that are
 // longer than a store lease", shows that such promises are safe. Does no I/O.
 #pragma once
--- a/include/mosspath/election/lease_clock.h
+++ b/include/mosspath/election/lease_clock.h
@@ -12,8 +12,8 @@
   // The lease expires `ttl_s` after its last renewal; `margin_s` of that time covers clock drift.
   LeaseClock(double ttl_s, double margin_s) : usable_s_(ttl_s - margin_s) {}
 
-  // The request that renewed the lease was sent at `sent`. Counting from `sent` is safe: the state
-  // service counts from its receipt of the request, which is later.
+  // The request that renewed the lease was sent at `sent`. Counting from `sent` is safe: the
+  // key-value store counts from its receipt of the request, which is later.
   void OnRenewed(double sent) {
     expires_at_ = std::max(expires_at_, std::optional(sent + usable_s_));
   }
--- a/include/mosspath/election/staleness_bound.h
+++ b/include/mosspath/election/staleness_bound.h
@@ -1,8 +1,8 @@
 // The bound on the age of the view on which a leader may act (docs/design.md, rule 12). The view is
-// what this controller has read of the jobs in the state service. Each response to an agent extends
-// the agent's lease on its tasks, even if the leader has not yet read that the tasks' job was
-// cancelled. So a leader with a stale view would keep the tasks of cancelled jobs running. Does no
-// I/O; the caller passes the time.
+// what this controller has read of the jobs in the key-value store. Each response to an agent
+// extends the agent's lease on its tasks, even if the leader has not yet read that the tasks' job
+// was cancelled. So a leader with a stale view would keep the tasks of cancelled jobs running. Does
+// no I/O; the caller passes the time.
 #pragma once
 
 #include <algorithm>
--- a/include/mosspath/jobs/job.h
+++ b/include/mosspath/jobs/job.h
@@ -21,7 +21,7 @@
 
 struct Task {
   TaskPhase phase = TaskPhase::kPending;
-  bool durable = false;        // the task's completion is in the state service
+  bool durable = false;        // the task's completion is in the key-value store
   bool start_counted = false;  // the objectives have counted the task's first start
   bool migrated = false;       // the task was stopped once to drain a machine
   uint16_t attempts = 0;       // number of attempts under the current token
--- a/include/mosspath/jobs/job_index.h
+++ b/include/mosspath/jobs/job_index.h
@@ -1,6 +1,6 @@
 // The status of jobs that a controller may report to users, and the changes that end a job. The
 // index derives both from the records that were read, from what other controllers have sent, and
-// from reads of the state service. Does no I/O: the service (service/job_service) and the
+// from reads of the key-value store. Does no I/O: the service (service/job_service) and the
 // simulation carry out the reads and changes.
 //
 // Invariants:
@@ -43,7 +43,7 @@
         cancellations_(limits.cancellations),
         records_(std::move(single_prefix), std::move(batch_prefix)) {}
 
-  // --- Records as read from the state service; everything up to `read_revision` was read ---
+  // --- Records as read from the key-value store; everything up to `read_revision` was read ---
   void Reset();  // discards what was read; a reload follows
   // Throws if the record is malformed.
   JobRecords::Change OnRecord(const std::string& key, const wire::Json* value, uint64_t version);
--- a/include/mosspath/jobs/job_records.h
+++ b/include/mosspath/jobs/job_records.h
@@ -1,4 +1,4 @@
-// The live jobs, and the records of the state service that contain them. Does no I/O: the records
+// The live jobs, and the records of the key-value store that contain them. Does no I/O: the records
 // that were read are the input; accepted and ended jobs and the records to write are the output.
 //
 // A record contains one job (the older form) or a batch of jobs that were accepted together, so
@@ -57,7 +57,7 @@
     std::vector<std::string> accepted;
     std::vector<std::string> ended;
   };
-  // Applies a record as read from the state service; null: the record was deleted. Throws if the
+  // Applies a record as read from the key-value store; null: the record was deleted. Throws if the
   // record is malformed, and then changes nothing.
   Change OnRecord(const std::string& key, const wire::Json* value, uint64_t version);
 
--- a/include/mosspath/kvstore/client.h
+++ b/include/mosspath/kvstore/client.h
@@ -1,5 +1,5 @@
-// The client of the state service: reads, transactions, watches and leases (as an etcd client). The
-// client keeps this controller within its share of the state service's request rates.
+// The client of the key-value store: reads, transactions, watches and leases (as an etcd client).
+// The client keeps this controller within its share of the key-value store's request rates.
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -34,9 +34,9 @@
   // Lists the page of keys under `prefix` that follows the key `after`; empty: the first page.
   void List(const std::string& prefix, const std::string& after,
             std::function<void(ListResult)> done);
-  // Reads the changes under `prefix` after the revision `since`. Without changes, the state service
-  // answers after `wait_s` seconds. With `wait_s` 0 it answers at once; the result then includes
-  // everything that was written before the call.
+  // Reads the changes under `prefix` after the revision `since`. Without changes, the key-value
+  // store answers after `wait_s` seconds. With `wait_s` 0 it answers at once; the result then
+  // includes everything that was written before the call.
   void Watch(const std::string& prefix, uint64_t since, double wait_s,
              std::function<void(WatchResult)> done);
 
@@ -50,8 +50,8 @@
   // Returns the seconds until the request budget has room for a transaction with `changes` changes.
   [[nodiscard]] double WriteDelay(double changes);
 
-  // When the last request was sent that the state service answered other than with 503, in seconds
-  // on the steady clock; far in the past if there was none.
+  // When the last request was sent that the key-value store answered other than with 503, in
+  // seconds on the steady clock; far in the past if there was none.
   [[nodiscard]] double last_contact() const { return transport_.last_contact(); }
   [[nodiscard]] uint64_t throttled_requests() const { return transport_.throttled_requests(); }
 
--- a/include/mosspath/kvstore/ids.h
+++ b/include/mosspath/kvstore/ids.h
@@ -1,6 +1,6 @@
-// Reserved values of the identifiers that the state service assigns. Identifiers are plain numbers
-// on the wire and in stored data. The service never assigns zero (etcd reserves it in the same
-// way).
+// Reserved values of the identifiers that the key-value store assigns. Identifiers are plain
+// numbers on the wire and in stored data. The service never assigns zero (etcd reserves it in the
+// same way).
 #pragma once
 
 #include <cstdint>
--- a/include/mosspath/kvstore/packed_map.h
+++ b/include/mosspath/kvstore/packed_map.h
@@ -1,4 +1,4 @@
-// A map of many small items, stored in a few values ("packs") of the state service, so that a
+// A map of many small items, stored in a few values ("packs") of the key-value store, so that a
 // change of many items takes few writes. Does no I/O.
 #pragma once
 
@@ -26,12 +26,12 @@
 
   explicit PackedMap(size_t pack_bytes) : pack_bytes_limit_(pack_bytes) {}
 
-  // Loads a pack as read from the state service.
+  // Loads a pack as read from the key-value store.
   void Load(int pack, const wire::Json& value, uint64_t version);
   void Set(const std::string& item, wire::Json value);
   // Replaces the value of an item within its pack, so that the item is never stored in two packs.
-  // The pack may then exceed its size limit by the growth of the item, as the state service accepts
-  // values larger than a full pack.
+  // The pack may then exceed its size limit by the growth of the item, as the key-value store
+  // accepts values larger than a full pack.
   void Replace(const std::string& item, wire::Json value);
   // `lazily`: does not mark the pack dirty; the stored pack keeps the item until its next write.
   void Erase(const std::string& item, bool lazily);
--- a/include/mosspath/kvstore/request_budget.h
+++ b/include/mosspath/kvstore/request_budget.h
@@ -1,4 +1,4 @@
-// The share of the state service's request rates that this controller may use. Does no I/O.
+// The share of the key-value store's request rates that this controller may use. Does no I/O.
 #pragma once
 
 #include "mosspath/config/settings.h"
--- a/include/mosspath/kvstore/transport.h
+++ b/include/mosspath/kvstore/transport.h
@@ -1,4 +1,4 @@
-// Sends single HTTP requests to the state service and parses the answers, without retries.
+// Sends single HTTP requests to the key-value store and parses the answers, without retries.
 #pragma once
 
 #include <cstdint>
@@ -11,7 +11,7 @@
 
 namespace mosspath::kvstore {
 
-// HTTP status codes of the state service's answers.
+// HTTP status codes of the key-value store's answers.
 namespace http_status {
 inline constexpr int kOk = 200;
 inline constexpr int kBadRequest = 400;
@@ -53,8 +53,8 @@
   // Sends `request` over `connections`, which must outlive the request.
   void Send(net::HttpClient& connections, Request request, std::function<void(Reply)> done);
 
-  // When the last request was sent that the state service answered other than with 503, in seconds
-  // on the steady clock; kNeverAnswered before the first one.
+  // When the last request was sent that the key-value store answered other than with 503, in
+  // seconds on the steady clock; kNeverAnswered before the first one.
   [[nodiscard]] double last_contact() const { return last_contact_; }
   // The number of requests that were answered with 429 or 503.
   [[nodiscard]] uint64_t throttled_requests() const { return throttled_requests_; }
--- a/include/mosspath/kvstore/types.h
+++ b/include/mosspath/kvstore/types.h
@@ -1,4 +1,4 @@
-// Requests to and results of the state service, a versioned key-value store with transactions,
+// Requests to and results of the key-value store, a versioned key-value store with transactions,
 // watches and leases (as etcd: revision, mod_revision, txn, watch, lease).
 #pragma once
 
--- a/include/mosspath/kvstore/watch_cache.h
+++ b/include/mosspath/kvstore/watch_cache.h
@@ -1,6 +1,6 @@
-// Passes the keys of the state service, and their changes, to this controller: lists the keys under
-// one prefix once, then watches a wider prefix from the list's revision (as a Kubernetes informer
-// does), and catches up on demand.
+// Passes the keys of the key-value store, and their changes, to this controller: lists the keys
+// under one prefix once, then watches a wider prefix from the list's revision (as a Kubernetes
+// informer does), and catches up on demand.
 #pragma once
 
 #include <cstdint>
--- a/include/mosspath/net/socket_budget.h
+++ b/include/mosspath/net/socket_budget.h
@@ -4,8 +4,8 @@
 //
 // Sockets are the first resource to run out as the number of machines grows. Without limits by
 // class, agents' connections took all sockets, and none were left for users, probes and the
-// requests to the state service. A leader then kept renewing its store lease over its open
-// connection, but received no updates from the state service.
+// requests to the key-value store. A leader then kept renewing its store lease over its open
+// connection, but received no updates from the key-value store.
 #pragma once
 
 #include <array>
@@ -20,7 +20,7 @@
   kAgent,         // agents' heartbeats
   kPeer,          // requests from other controllers and operators
   kCommand,       // direct commands to agents
-  kOutbound,      // requests to the state service, the cloud and other controllers
+  kOutbound,      // requests to the key-value store, the cloud and other controllers
 };
 inline constexpr size_t kConnectionClasses = 6;
 // Returns the name of the class in metrics and on the status page.
--- a/include/mosspath/scheduler/start_gate.h
+++ b/include/mosspath/scheduler/start_gate.h
@@ -30,8 +30,8 @@
 
   // Sets the version above which jobs get a durable start marker before any of their tasks is
   // started, whichever controller leads. A leader that has begun to write markers goes on even if
-  // kNever is set: while the leader reloads its view (what the leader has read of the state
-  // service), the view contains no controller that writes markers. If the leader then started a job
+  // kNever is set: while the leader reloads its view (what the leader has read of the key-value
+  // store), the view contains no controller that writes markers. If the leader then started a job
   // without a marker, its successor would treat the job as never started.
   void SetMarkersSince(uint64_t version);
 
--- a/include/mosspath/service/controller.h
+++ b/include/mosspath/service/controller.h
@@ -1,5 +1,5 @@
 // One controller: owns the services, connects them with the interfaces for
-// users, agents, peers and operators, and dispatches the state service's events
+// users, agents, peers and operators, and dispatches the key-value store's events
 // to them. Not thread-safe: runs on one event loop.
 #pragma once
 
--- a/include/mosspath/service/job_service.h
+++ b/include/mosspath/service/job_service.h
@@ -1,5 +1,5 @@
-// The jobs that this controller has read from the state service, and the durable changes that users
-// request: submission and cancellation. Carries out the reads and changes that jobs/job_index
+// The jobs that this controller has read from the key-value store, and the durable changes that
+// users request: submission and cancellation. Carries out the reads and changes that jobs/job_index
 // decides. Runs on every controller; not thread-safe.
 #pragma once
 
@@ -48,7 +48,7 @@
   // this controller has committed. The watch cache may not contain the cancellation yet.
   void OnJobCancelled(const std::string& id, uint64_t revision);
   // Called with the id of a job when this controller receives the job's cancellation from a source
-  // other than the watch cache. During an outage of the state service, the watch cache does not
+  // other than the watch cache. During an outage of the key-value store, the watch cache does not
   // receive the cancellation until the outage ends. The job's tasks must end at once, although the
   // cached job records still contain the job as not ended.
   std::function<void(const std::string& id)> on_job_cancelled;
--- a/include/mosspath/service/job_submitter.h
+++ b/include/mosspath/service/job_submitter.h
@@ -1,6 +1,6 @@
 // Writes the records of submitted jobs, with pending jobs batched in one record and one
-// transaction. A single job is written at once. Under a burst, the write rate of the state service
-// determines the batch size, and pending jobs are queued fairly among teams and classes. Not
+// transaction. A single job is written at once. Under a burst, the write rate of the key-value
+// store determines the batch size, and pending jobs are queued fairly among teams and classes. Not
 // thread-safe.
 #pragma once
 
@@ -33,8 +33,8 @@
   // Sets whether several jobs may share a record, which requires that every controller can read
   // such records.
   void SetBatching(bool allowed) { batching_ = allowed; }
-  // Queues the job. `revision` is the revision up to which this controller has read the state
-  // service. It makes the keys of batch records unique.
+  // Queues the job. `revision` is the revision up to which this controller has read the key-value
+  // store. It makes the keys of batch records unique.
   void Submit(const wire::JobSpec& spec, uint64_t revision, Done done);
 
  private:
--- a/include/mosspath/service/keys.h
+++ b/include/mosspath/service/keys.h
@@ -1,4 +1,4 @@
-// Keys in the state service. Every controller caches the keys under kLive. A controller also
+// Keys in the key-value store. Every controller caches the keys under kLive. A controller also
 // receives each final record as it is written, and reads older final records one by one: final
 // records are never deleted, so a cache of all of them would need unbounded memory.
 #pragma once
--- a/include/mosspath/service/machine_type_cache.h
+++ b/include/mosspath/service/machine_type_cache.h
@@ -1,5 +1,5 @@
 // Caches the machine types. The types come from the cloud, or from the record that a leader
-// publishes in the state service. The record lets controllers validate jobs while the cloud's API
+// publishes in the key-value store. The record lets controllers validate jobs while the cloud's API
 // is down. Runs on every controller; not thread-safe.
 #pragma once
 
--- a/include/mosspath/service/operator_settings_api.h
+++ b/include/mosspath/service/operator_settings_api.h
@@ -1,4 +1,4 @@
-// The operators' settings: caches the settings record of the state service, and serves the
+// The operators' settings: caches the settings record of the key-value store, and serves the
 // administration API that reads the record and changes it by compare-and-set. Not thread-safe.
 #pragma once
 
--- a/include/mosspath/service/peer_service.h
+++ b/include/mosspath/service/peer_service.h
@@ -1,6 +1,6 @@
 // Communication between controllers. Each controller sends heartbeats to its peers. A heartbeat
-// contains the times since its sender last had contact with the state service, the cloud, agents
-// and peers. The leader also sends status snapshots. During an outage of the state service, the
+// contains the times since its sender last had contact with the key-value store, the cloud, agents
+// and peers. The leader also sends status snapshots. During an outage of the key-value store, the
 // leader requests promises from its peers not to lead. Not thread-safe.
 #pragma once
 
--- a/include/mosspath/service/record_flusher.h
+++ b/include/mosspath/service/record_flusher.h
@@ -1,5 +1,6 @@
-// Writes the leader's machine and progress records to the state service: at a regular interval, and
-// sooner for machines that have no durable entry yet. Part of the leader's duties; not thread-safe.
+// Writes the leader's machine and progress records to the key-value store: at a regular interval,
+// and sooner for machines that have no durable entry yet. Part of the leader's duties; not
+// thread-safe.
 #pragma once
 
 #include <functional>
--- a/include/mosspath/service/record_limits.h
+++ b/include/mosspath/service/record_limits.h
@@ -5,8 +5,8 @@
 
 namespace mosspath::service {
 
-// Maximum total size of the values in one transaction, in bytes. A request to the state service has
-// at most 64 KiB in all.
+// Maximum total size of the values in one transaction, in bytes. A request to the key-value store
+// has at most 64 KiB in all.
 inline constexpr size_t kMaxRecordBytes = 48u << 10;
 
 }  // namespace mosspath::service
--- a/include/mosspath/service/shard_holder_service.h
+++ b/include/mosspath/service/shard_holder_service.h
@@ -40,7 +40,7 @@
   void RemoveEndedJobs();
   void OnLeader(const std::string& node, uint64_t token);
 
-  // Returns whether commands may be sent now: what this controller has read of the state service,
+  // Returns whether commands may be sent now: what this controller has read of the key-value store,
   // which includes the shard lease, is fresh.
   bool MayAct() const;
   bool Owns(const std::string& machine) const { return holder_.dispatcher().Owns(machine); }
--- a/include/mosspath/service/shard_membership.h
+++ b/include/mosspath/service/shard_membership.h
@@ -1,6 +1,6 @@
 // This controller's participation in sharding (docs/sharding.md): offers to hold this controller's
-// shard, holds the shard while the state service has a record of the shard's lease, and tracks the
-// holders of all shards. Not thread-safe.
+// shard, holds the shard while the key-value store has a record of the shard's lease, and tracks
+// the holders of all shards. Not thread-safe.
 #pragma once
 
 #include <asio/io_context.hpp>
--- a/include/mosspath/shard/routing_table.h
+++ b/include/mosspath/shard/routing_table.h
@@ -1,5 +1,5 @@
 // Maps each machine to the controller that commands the machine. The routes come from the records
-// in the state service, which every controller reads: a machine's record names the shard lease
+// in the key-value store, which every controller reads: a machine's record names the shard lease
 // under which the machine is held, and the record of that lease names the holder
 // (docs/sharding.md). Does no I/O.
 #pragma once
--- a/include/mosspath/shard/shard_holder.h
+++ b/include/mosspath/shard/shard_holder.h
@@ -4,8 +4,8 @@
 // I/O.
 //
 // The caller may use this object to command machines only while two conditions hold: the record of
-// the shard lease names the lease() of this object, and what this controller has read of the state
-// service is fresh (docs/sharding.md, "How long a holder may act").
+// the shard lease names the lease() of this object, and what this controller has read of the
+// key-value store is fresh (docs/sharding.md, "How long a holder may act").
 #pragma once
 
 #include <functional>
@@ -40,7 +40,7 @@
   [[nodiscard]] scheduler::Scheduler& dispatcher() { return scheduler_; }
   [[nodiscard]] const scheduler::Scheduler& dispatcher() const { return scheduler_; }
 
-  // --- Records of the state service ---
+  // --- Records of the key-value store ---
   // The machine's record assigns the machine to this lease. The record's `version` is the fencing
   // token for the machine; `handover_revision` rises with each handover of the machine.
   void OnMachineAssigned(const std::string& machine, const std::string& address, uint64_t version,
--- a/include/mosspath/shard/shard_lease_manager.h
+++ b/include/mosspath/shard/shard_lease_manager.h
@@ -27,7 +27,7 @@
   // Sets whether shards may be leased. If they may not, PendingChanges revokes the present leases.
   void AllowLeases(bool allowed) { allowed_ = allowed; }
 
-  // --- Records of the state service ---
+  // --- Records of the key-value store ---
   // The controller `node` offers to hold its shard. The offer is a record with this version that is
   // attached to the controller's store lease. kvstore::kKeyAbsent: the offer has ended.
   void OnOffer(const std::string& node, uint64_t version, uint64_t store_lease, double now);
@@ -49,7 +49,7 @@
   };
   // Returns the lease changes to write. A change is not returned again before OnChangeWritten.
   std::vector<LeaseChange> PendingChanges(double now);
-  // The state service has answered the write, or the write has timed out. The new lease itself is
+  // The key-value store has answered the write, or the write has timed out. The new lease itself is
   // read from the watch cache.
   void OnChangeWritten(const std::string& node, bool done, double now);
 
--- a/include/mosspath/wire/peer_heartbeat.h
+++ b/include/mosspath/wire/peer_heartbeat.h
@@ -23,7 +23,7 @@
 
   std::string node;
   bool is_leader = false;
-  // Seconds since the state service (state_ago_s) and the cloud (cloud_ago_s) last answered this
+  // Seconds since the key-value store (state_ago_s) and the cloud (cloud_ago_s) last answered this
   // controller; kNeverS if they have not answered yet.
   double state_ago_s = 0;
   double cloud_ago_s = 0;
--- a/include/mosspath/wire/promise_frame.h
+++ b/include/mosspath/wire/promise_frame.h
@@ -1,6 +1,6 @@
 // Promise requests and responses (election/leadership). A leader sends promise requests to its
-// peers while the state service does not answer. A response states whether the peer promises not to
-// become the leader for a short time. It also lists the cancellations that the peer may have
+// peers while the key-value store does not answer. A response states whether the peer promises not
+// to become the leader for a short time. It also lists the cancellations that the peer may have
 // confirmed to users and that the leader has not read. Both frames are encoded by the varint codec.
 #pragma once
 
--- a/include/mosspath/wire/shard_frame.h
+++ b/include/mosspath/wire/shard_frame.h
@@ -86,7 +86,7 @@
   bool from_leader = false;
   uint64_t acknowledged = 0;          // the sender has processed all messages up to this number
   uint64_t receive_window_bytes = 0;  // message bytes that the sender accepts per frame
-  // The sender's view is what the sender has read of the state service. The view contains all
+  // The sender's view is what the sender has read of the key-value store. The view contains all
   // cancellations that any controller had confirmed to a user up to `view_age_s` before this frame
   // was sent. `newest_cancellation` is the revision of the newest cancellation in the view. If
   // `view_age_s` is kNeverS, the frame does not describe a view.
--- a/include/mosspath/wire/status_snapshot.h
+++ b/include/mosspath/wire/status_snapshot.h
@@ -97,7 +97,7 @@
     uint64_t requested = 0;  // jobs submitted since the process started
     uint64_t refused = 0;    // the number of these jobs that a limit of admission refused
   };
-  // The controller's view is what the controller has read of the state service.
+  // The controller's view is what the controller has read of the key-value store.
   double budget = 0;     // the maximum number of tasks of all live jobs together
   double live = 0;       // number of tasks of the live jobs in the controller's view
   double in_flight = 0;  // number of tasks that this controller accepted and has not read back yet
--- a/src/config/derived_settings.cc
+++ b/src/config/derived_settings.cc
@@ -7,8 +7,8 @@
 namespace mosspath::config {
 namespace {
 
-// The maximum age of the leader's view of the jobs, which the leader reads from the state service.
-// Expressed as a share of (cancel_within_s - agent_lease_over_s).
+// The maximum age of the leader's view of the jobs, which the leader reads from the key-value
+// store. Expressed as a share of (cancel_within_s - agent_lease_over_s).
 constexpr double kViewShare = 0.9;
 // Margin for message delays, as a ratio. It applies to durations that two processes measure, each
 // by its own clock.
--- a/src/election/failure_detector.cc
+++ b/src/election/failure_detector.cc
@@ -13,7 +13,7 @@
 // A peer is suspected after this many heartbeat intervals without a heartbeat.
 constexpr double kSuspectIntervals = 3;
 // A service is reported as unreachable after this many agent heartbeat intervals without contact.
-constexpr double kUnreachableHeartbeats = 3;        // the state service, or the agents
+constexpr double kUnreachableHeartbeats = 3;        // the key-value store, or the agents
 constexpr double kUnreachableCloudHeartbeats = 20;  // the cloud, which is polled less often
 
 // Texts that the status page shows.
--- a/src/election/leadership.cc
+++ b/src/election/leadership.cc
@@ -161,9 +161,9 @@
 }
 
 std::optional<uint64_t> Leadership::BeginPromiseRound(double contact, double now) {
-  // During a reload, what this controller has read of the state service is incomplete, even if the
-  // pages that were loaded so far have a recent revision: the ends of jobs on pages that are still
-  // to be loaded can be missing.
+  // During a reload, what this controller has read of the key-value store is incomplete, even if
+  // the pages that were loaded so far have a recent revision: the ends of jobs on pages that are
+  // still to be loaded can be missing.
   if (!leads() || !loaded_ || !IsDisconnected(contact, now)) return std::nullopt;
   return promises_.BeginRound(now);
 }
@@ -180,7 +180,7 @@
   // lacks a confirmed cancellation, or the tasks of the cancelled job would be kept running too.
   // The entries of an earlier response are no substitute for a complete list: a peer may receive
   // the responses to its changes out of order, and so add an earlier cancellation to its log after
-  // a later one. Only what this controller has read from the state service is complete, up to
+  // a later one. Only what this controller has read from the key-value store is complete, up to
   // read_revision_. So each response must list all cancellations after read_revision_.
   const bool all_known = slice.from_revision <= read_revision_ &&
                          slice.newest <= std::max(read_revision_, slice.to_revision);
@@ -188,8 +188,8 @@
     return PromiseResponseResult::kNotCounted;
   }
   // This controller has every cancellation that a peer had confirmed when that peer received the
-  // request. So the promises of all peers together are equivalent to a read of the state service at
-  // the time the requests were sent.
+  // request. So the promises of all peers together are equivalent to a read of the key-value store
+  // at the time the requests were sent.
   if (const auto sent_at = promises_.OnPromise(round, peer)) staleness_.AdvanceTo(*sent_at);
   return PromiseResponseResult::kCounted;
 }
--- a/src/kvstore/codec.cc
+++ b/src/kvstore/codec.cc
@@ -12,7 +12,7 @@
 constexpr int kPageSize = 500;
 constexpr double kMsPerS = 1000;
 
-// The state service's field names. The constants are named by the usual terms for the fields.
+// The key-value store's field names. The constants are named by the usual terms for the fields.
 namespace field {
 constexpr const char* kKey = "k";
 constexpr const char* kValue = "v";
--- a/src/kvstore/codec.h
+++ b/src/kvstore/codec.h
@@ -1,4 +1,4 @@
-// The state service's HTTP targets and JSON bodies. Only codec.cc contains the service's field
+// The key-value store's HTTP targets and JSON bodies. Only codec.cc contains the service's field
 // names.
 #pragma once
 
@@ -18,7 +18,7 @@
 // Returns the target for the page of keys under `prefix` after the key `after`; empty: the first
 // page.
 [[nodiscard]] std::string ListTarget(const std::string& prefix, const std::string& after);
-// Returns the target for the changes after the revision `since`. The state service answers within
+// Returns the target for the changes after the revision `since`. The key-value store answers within
 // `wait_s` seconds.
 [[nodiscard]] std::string WatchTarget(const std::string& prefix, uint64_t since, double wait_s);
 [[nodiscard]] std::string LeaseTarget(uint64_t lease);
--- a/src/kvstore/request_budget.cc
+++ b/src/kvstore/request_budget.cc
@@ -7,8 +7,8 @@
 
 constexpr double kMinBurst = 2;
 constexpr double kRequestBurstS = 0.5;  // largest burst, in seconds of the request rate
-// Share of the state service's write rate that this controller may use. The leader makes nearly all
-// changes, so each controller may use most of the rate.
+// Share of the key-value store's write rate that this controller may use. The leader makes nearly
+// all changes, so each controller may use most of the rate.
 constexpr double kChangeShare = 0.7;
 constexpr double kChangeBurstS = 0.5;
 
--- a/src/kvstore/transaction_committer.cc
+++ b/src/kvstore/transaction_committer.cc
@@ -19,7 +19,7 @@
 constexpr double kBudgetSlackS = 0.002;
 constexpr double kMinTimeoutS = 0.05;
 
-// True if the state service certainly did not execute the request and a retry may succeed.
+// True if the key-value store certainly did not execute the request and a retry may succeed.
 bool IsRepeatable(const Reply& reply) {
   if (reply.kind == Reply::Kind::kNotSent) return true;
   if (reply.kind != Reply::Kind::kAnswered) return false;
--- a/src/net/socket_budget.cc
+++ b/src/net/socket_budget.cc
@@ -7,7 +7,7 @@
 
 // Limits of connection classes, as shares of all sockets.
 constexpr double kOutboundShare = 0.05;
-constexpr size_t kMinOutbound = 32;  // enough for the state service, the cloud and a few peers
+constexpr size_t kMinOutbound = 32;  // enough for the key-value store, the cloud and a few peers
 constexpr double kPeerShare = 0.05;
 constexpr double kCommandShare = 0.25;
 // Keep-alive limits, as shares of the public limit (the limit of the classes of the public
--- a/src/scheduler/leader_sharding.cc
+++ b/src/scheduler/leader_sharding.cc
@@ -228,7 +228,7 @@
 }
 
 // The holder has claimed all tasks of the machines that it commands according to its view of the
-// state service up to `known_revision`. The message is ignored if that view is older than the
+// key-value store up to `known_revision`. The message is ignored if that view is older than the
 // election of this leader.
 void LeaderSharding::OnSyncComplete(uint64_t lease, uint64_t known_revision) {
   if (known_revision >= state_.token && state_.failover.OnHolderSynced(lease)) {
--- a/src/scheduler/machine_lifecycle.cc
+++ b/src/scheduler/machine_lifecycle.cc
@@ -29,7 +29,7 @@
   machine.recorded_address = record.address;
   state_.failover.AddMachine(machine);
   // The record may name a lease that is not open under this leader. The holder of that lease may go
-  // on commanding the machine until the holder's view of the state service is too old.
+  // on commanding the machine until the holder's view of the key-value store is too old.
   if (record.lease != kNoLease) machine.lease_renewed_at += state_.derived.shard_hold_s;
   machine.expired_lease = record.lease;
 }
--- a/src/service/job_submitter.cc
+++ b/src/service/job_submitter.cc
@@ -29,7 +29,7 @@
                            const config::Settings& settings, const config::DerivedSettings& derived)
     : store_(store),
       node_(settings.name),
-      // The state service allows four conditions in a transaction for each change that it allows.
+      // The key-value store allows four conditions in a transaction for each change that it allows.
       // Each job takes two conditions, and the batch record takes one.
       max_batch_jobs_(
           static_cast<size_t>(std::max(1, (4 * settings.store_transaction_changes - 1) / 2))),
--- a/src/service/shard_holder_service.cc
+++ b/src/service/shard_holder_service.cc
@@ -174,7 +174,7 @@
                    accepted = self->holder_.OnFrame(*answer, net::Now());
                  });
                  if (!decoded || !accepted) return self->holder_.OnFrameLost();
-                 // The leader's view is what the leader has read of the state service. It holds
+                 // The leader's view is what the leader has read of the key-value store. It holds
                  // all cancellations that any controller had confirmed to users until
                  // `view_age_s` before the answer was sent. If this controller's watch cache has
                  // read up to the newest of these cancellations, it holds all of them too. The age
--- a/src/service/shard_membership.cc
+++ b/src/service/shard_membership.cc
@@ -100,8 +100,8 @@
   OnLeaderKey();
 }
 
-// Starts or stops holding this controller's shard, according to the shard's lease in the state
-// service.
+// Starts or stops holding this controller's shard, according to the shard's lease in the key-value
+// store.
 void ShardMembership::UpdateHolder() {
   const uint64_t lease = routes_.LeaseOf(context_.settings.name);
   const bool held =
--- a/tests/admission_controller_test.cc
+++ b/tests/admission_controller_test.cc
@@ -101,7 +101,7 @@
   }
 }
 
-// Each controller reads from the state service, only after a delay, the jobs that the other
+// Each controller reads from the key-value store, only after a delay, the jobs that the other
 // controllers accepted. The admission shares of all controllers sum to kPlannedFraction. The
 // accepted tasks therefore exceed the budget by at most that fraction of the budget, plus one job
 // per controller.
@@ -116,7 +116,7 @@
   for (int i = 0; i < steps; ++i) {
     const auto which = static_cast<size_t>(*rc::gen::inRange<int>(0, static_cast<int>(count)));
     if (*rc::gen::inRange(0, 3) == 0) {
-      // The controller reads some of the accepted jobs from the state service.
+      // The controller reads some of the accepted jobs from the key-value store.
       for (int k = *rc::gen::inRange(0, 10); k > 0 && !unseen[which].empty(); --k) {
         controllers[which].OnAccepted(unseen[which].front());
         unseen[which].pop_front();
@@ -193,9 +193,9 @@
   EXPECT_GE(seconds.size(), 6u);
 }
 
-// A job may end before the controller has read the job's acceptance from the state service. If the
-// controller then reloads all records, it never reads that acceptance. OnLoaded must release the
-// budget of the job, which would otherwise stay in use forever.
+// A job may end before the controller has read the job's acceptance from the key-value store. If
+// the controller then reloads all records, it never reads that acceptance. OnLoaded must release
+// the budget of the job, which would otherwise stay in use forever.
 TEST(AdmissionControllerTest, AJobThatEndedUnseenIsReleased) {
   AdmissionController controller(100, {"a"}, 1, 10);
   ASSERT_TRUE(controller.Request(Spec(1, "a", "x", 50), 0.5, 0).admit);
--- a/tests/builders.h
+++ b/tests/builders.h
@@ -17,8 +17,8 @@
 inline constexpr size_t kMaxBatchPacks = 100;
 inline constexpr size_t kMaxBatchBytes = 48u << 10;
 
-// Sets the limits of the state service and the cloud to values for a small cluster: request rates,
-// record sizes, and the delay after which the cloud lists a new machine.
+// Sets the limits of the key-value store and the cloud to values for a small cluster: request
+// rates, record sizes, and the delay after which the cloud lists a new machine.
 inline void SetServiceLimits(config::Settings& settings) {
   settings.store_requests_per_s = 100;
   settings.store_writes_per_s = 25;
--- a/tests/failover_test.cc
+++ b/tests/failover_test.cc
@@ -201,7 +201,7 @@
   scheduler_.OnRecordsWritten(20, 0);
   scheduler_.Place(3);
   EXPECT_EQ(Starts(SendHeartbeat("vm-1", 3)).size(), 2u);
-  // While the leader reloads the records of the state service, it has not read which controllers
+  // While the leader reloads the records of the key-value store, it has not read which controllers
   // write start markers. The leader must keep writing start markers, or its successor would take a
   // started job for an unstarted one.
   scheduler_.SetMarkersSince(TaskPlacer::kNever);
--- a/tests/failure_detector_test.cc
+++ b/tests/failure_detector_test.cc
@@ -19,7 +19,7 @@
   return settings;
 }
 
-// Returns a heartbeat of the controller `node`. Its last contact with the state service was
+// Returns a heartbeat of the controller `node`. Its last contact with the key-value store was
 // `state_ago_s` seconds ago, and its last contact with the other one of the peers hut-1 and hut-2
 // `other_ago_s` seconds ago.
 wire::PeerHeartbeat HeartbeatFrom(const char* node, double state_ago_s, double other_ago_s) {
@@ -64,31 +64,32 @@
   EXPECT_TRUE(detector.IsSuspected("hut-2", 130.1));  // hut-2 was silent before.
 }
 
-// A controller that can't reach the state service and its peers may still be reachable for agents
+// A controller that can't reach the key-value store and its peers may still be reachable for agents
 // and users. The load balancer must then route users to the other controllers.
 TEST(FailureDetectorTest, AnIsolatedControllerRedirectsUsers) {
   FailureDetector detector(Settings());
   constexpr double kContactTimeoutS = 5;
   EXPECT_TRUE(detector.ShouldServeUsers(100, kContactTimeoutS, 104));
-  // The state service is down for all controllers, according to the heartbeats of the peers.
+  // The key-value store is down for all controllers, according to the heartbeats of the peers.
   detector.OnHeartbeat(HeartbeatFrom("hut-1", 0.1, 0.1), 100);
   detector.OnHeartbeat(HeartbeatFrom("hut-2", 0.1, 0.1), 100);
   detector.OnHeartbeat(HeartbeatFrom("hut-1", 10, 0.1), 110);
   EXPECT_TRUE(detector.ShouldServeUsers(100, kContactTimeoutS, 110));
-  // Only this controller is cut off from the state service.
+  // Only this controller is cut off from the key-value store.
   detector.OnHeartbeat(HeartbeatFrom("hut-1", 0.1, 0.1), 110.2);
   EXPECT_FALSE(detector.ShouldServeUsers(100, kContactTimeoutS, 110.2));
-  // This controller reaches the state service again at 111. It then loses contact with the state
-  // service and with both peers. It is not isolated before heartbeats of the peers are overdue.
+  // This controller reaches the key-value store again at 111. It then loses contact with the
+  // key-value store and with both peers. It is not isolated before heartbeats of the peers are
+  // overdue.
   detector.OnHeartbeat(HeartbeatFrom("hut-2", 0.1, 0.1), 111);
   EXPECT_TRUE(detector.ShouldServeUsers(111, kContactTimeoutS, 112));
   EXPECT_FALSE(detector.IsIsolated(112));
   EXPECT_TRUE(detector.IsIsolated(120));
   EXPECT_FALSE(detector.ShouldServeUsers(111, kContactTimeoutS, 120));
-  // A controller that reaches the state service serves users, even if it reaches no peer.
+  // A controller that reaches the key-value store serves users, even if it reaches no peer.
   EXPECT_TRUE(detector.ShouldServeUsers(120, kContactTimeoutS, 121));
-  // Without the state service, a controller serves users if a peer that it reaches can't reach the
-  // state service either.
+  // Without the key-value store, a controller serves users if a peer that it reaches can't reach
+  // the key-value store either.
   detector.OnHeartbeat(HeartbeatFrom("hut-1", 30, 0.1), 125);
   EXPECT_TRUE(detector.ShouldServeUsers(113, kContactTimeoutS, 125));
 }
--- a/tests/fakes/fake_key_value_store.h
+++ b/tests/fakes/fake_key_value_store.h
@@ -1,4 +1,4 @@
-// A fake of the state service's key-value store: HTTP servers on loopback, for tests that run the
+// A fake of the key-value store's key-value store: HTTP servers on loopback, for tests that run the
 // real program.
 #pragma once
 
--- a/tests/golden_cluster_test.cc
+++ b/tests/golden_cluster_test.cc
@@ -1,8 +1,8 @@
-// Golden values of the records that two complete controllers write to the state service. Covers the
-// records that only the running service composes (the leader key, the supported record formats,
+// Golden values of the records that two complete controllers write to the key-value store. Covers
+// the records that only the running service composes (the leader key, the supported record formats,
 // offers to hold a shard, shard leases), and the key and store lease of every record. The
-// controllers run in this process against fakes of the state service and the cloud. The tests wait
-// for each expected record and do not check how long a record takes.
+// controllers run in this process against fakes of the key-value store and the cloud. The tests
+// wait for each expected record and do not check how long a record takes.
 #include <gtest/gtest.h>
 
 #include <asio/io_context.hpp>
--- a/tests/golden_records_test.cc
+++ b/tests/golden_records_test.cc
@@ -1,7 +1,7 @@
-// Golden values of the state service: the keys and the exact JSON text of every value stored under
-// mosspath/. A running cluster holds values that earlier versions wrote, so the keys and the text
-// must not change. Each test encodes a value in which every field has a distinct value other than
-// its default, compares the text, then decodes the text and checks each field.
+// Golden values of the key-value store: the keys and the exact JSON text of every value stored
+// under mosspath/. A running cluster holds values that earlier versions wrote, so the keys and the
+// text must not change. Each test encodes a value in which every field has a distinct value other
+// than its default, compares the text, then decodes the text and checks each field.
 #include <gtest/gtest.h>
 
 #include <memory>
--- a/tests/job_end_model_test.cc
+++ b/tests/job_end_model_test.cc
@@ -24,11 +24,11 @@
 enum class Event {
   // The leader completes the job.
   kSendCompletion,      // the leader sends the transaction
-  kCommitCompletion,    // the state service commits or rejects the transaction
+  kCommitCompletion,    // the key-value store commits or rejects the transaction
   kCompletionAnswered,  // the leader receives the answer
   // The canceller, the second controller, cancels the job.
   kSendCancellation,      // the canceller reads the job's status and sends the transaction
-  kCommitCancellation,    // the state service commits or rejects the transaction
+  kCommitCancellation,    // the key-value store commits or rejects the transaction
   kCancellationAnswered,  // the canceller receives the answer and reports it to its user
   // A user queries the job at the third controller.
   kQuery,            // the query arrives
@@ -37,8 +37,8 @@
   kQueryAnswered,    // the controller answers the query
   // A user submits the job again at the third controller.
   kResubmit,            // the controller finds the job in its index, or sends the transaction
-  kCommitResubmission,  // the state service must reject the transaction
-  // A controller reads the next change of the state service.
+  kCommitResubmission,  // the key-value store must reject the transaction
+  // A controller reads the next change of the key-value store.
   kLeaderReads,
   kCancellerReads,
   kThirdReads,
@@ -263,7 +263,7 @@
 
   const Guard guard_;
   std::vector<LoggedChange> changes_;
-  // The records in the state service, with their versions.
+  // The records in the key-value store, with their versions.
   std::optional<std::pair<wire::Json, uint64_t>> live_;
   std::optional<std::pair<wire::Json, uint64_t>> final_;
   Controller controllers_[3];
--- a/tests/job_records_test.cc
+++ b/tests/job_records_test.cc
@@ -1,4 +1,4 @@
-// Tests job records against a model of the state service. Jobs are accepted and end, and
+// Tests job records against a model of the key-value store. Jobs are accepted and end, and
 // controllers clean up, watch and reload the records, in random order. Writes are lost or delayed.
 #include "mosspath/jobs/job_records.h"
 
@@ -25,7 +25,7 @@
   return spec;
 }
 
-// A model of the state service: keys with values and versions, and the change log.
+// A model of the key-value store: keys with values and versions, and the change log.
 struct Store {
   struct Change {
     std::string key;
--- a/tests/job_service_test.cc
+++ b/tests/job_service_test.cc
@@ -127,8 +127,8 @@
   EXPECT_EQ(jobs_.FindLive("req-1"), nullptr);
 }
 
-// The controller receives a cancellation from a peer during an outage of the state service. The job
-// must end at once, because the watch cache receives the cancellation only after the outage.
+// The controller receives a cancellation from a peer during an outage of the key-value store. The
+// job must end at once, because the watch cache receives the cancellation only after the outage.
 TEST_F(JobServiceTest, AJobCancelledAheadOfTheWatchCacheHasEnded) {
   ASSERT_NE(jobs_.FindLive("req-1"), nullptr);
   store_.down = true;
@@ -142,9 +142,9 @@
 }
 
 // The controller receives a cancellation from a peer. The watch cache then receives the job's
-// acceptance, but no later change while an outage of the state service lasts. A leader that treated
-// the job as live kept running the job, although the user had received the confirmation of the
-// cancellation.
+// acceptance, but no later change while an outage of the key-value store lasts. A leader that
+// treated the job as live kept running the job, although the user had received the confirmation of
+// the cancellation.
 TEST_F(JobServiceTest, AJobCancelledBeforeItsAcceptanceIsSeenIsNotAccepted) {
   jobs_.OnJobCancelled("req-3", watch_cache_.revision() + 2);
   store_.Put(keys::Job("req-3"), jobs::JobRecords::EncodeEntry(Spec("req-3"), 0));
--- a/tests/late_writes_model_test.cc
+++ b/tests/late_writes_model_test.cc
@@ -1,5 +1,5 @@
 // Bounded model check: a breadth-first search over the orders of the events below. The model has a
-// job of two tasks, two machines, and successive leaders. The state service may commit a
+// job of two tasks, two machines, and successive leaders. The key-value store may commit a
 // transaction late: without an answer, after a newer transaction, or after the leader that sent it
 // was replaced. The leaders are instances of the real Scheduler. A task must neither run twice nor
 // lose its result, and the job must not be done before both tasks have ended.
@@ -26,8 +26,8 @@
 
 using fakes::PlainAgent;
 
-// When the state service processes a transaction, it commits the transaction if all its conditions
-// hold, and rejects it otherwise.
+// When the key-value store processes a transaction, it commits the transaction if all its
+// conditions hold, and rejects it otherwise.
 enum class Event {
   kSendTransaction,      // the leader sends its pending records in one transaction
   kTransactionAnswered,  // the last transaction is processed, and the leader receives the answer
@@ -48,7 +48,7 @@
 
 class Model {
  public:
-  // Without `conditions`, the state service ignores the conditions of transactions.
+  // Without `conditions`, the key-value store ignores the conditions of transactions.
   explicit Model(bool conditions) : conditions_(conditions) {
     job_ = test::MakeJobSpec("req-1", "free", /*tasks=*/2, /*cpus=*/5);  // one task per machine
     job_.image = "img";
@@ -158,7 +158,7 @@
     for (const auto& [key, value] : transaction.puts) pairs_[key] = {value, revision_};
     return true;
   }
-  // Returns whether the records in the state service mark the task as done.
+  // Returns whether the records in the key-value store mark the task as done.
   bool IsDurable(uint32_t index) const {
     jobs::Job job(job_, 1, 0);
     for (const auto& [key, pair] : pairs_) {
@@ -325,7 +325,7 @@
   const config::DerivedSettings derived_{settings_};
   double now_ = 1;
   wire::JobSpec job_;
-  // The state service.
+  // The key-value store.
   uint64_t revision_ = 0;
   uint64_t token_ = 0;  // the version of the leader key
   uint64_t live_ = 0;   // the version of the job's record; 0: the job has ended
--- a/tests/leadership_model_test.cc
+++ b/tests/leadership_model_test.cc
@@ -1,10 +1,10 @@
 // Bounded model check: a breadth-first search over the orders of the events of the first compound
 // failure in docs/compound-failures.md.
 //
-// The model has three controllers, the state service, and an agent with one long task whose job is
-// cancelled. The controllers use the real Leadership and CancellationLog; the state service and the
-// agent are minimal models. In every order of events, the task must end within cancel_s after the
-// cancellation was confirmed to the user.
+// The model has three controllers, the key-value store, and an agent with one long task whose job
+// is cancelled. The controllers use the real Leadership and CancellationLog; the key-value store
+// and the agent are minimal models. In every order of events, the task must end within cancel_s
+// after the cancellation was confirmed to the user.
 #include <gtest/gtest.h>
 #include <spdlog/fmt/fmt.h>
 
@@ -31,8 +31,8 @@
 enum class Event {
   kAgentLeaseTime,  // half an agent lease passes
   kStoreLeaseTime,  // a fraction of a store lease passes
-  kRefuseLeader,    // toggles whether the state service refuses the first controller alone
-  kOutage,          // toggles whether the state service is down for all controllers
+  kRefuseLeader,    // toggles whether the key-value store refuses the first controller alone
+  kOutage,          // toggles whether the key-value store is down for all controllers
   kCancel,          // the second controller cancels the job and confirms it to the user
   kRestart,         // the second controller restarts at once and has read no data yet
   kDelayResponses,  // begins to delay promise responses, or delivers the delayed responses
@@ -48,7 +48,7 @@
   kLearnedCancellations,  // the leader does not end jobs whose cancellation a peer has sent
 };
 
-// Simulates the controllers, the state service and the agent in steps of simulated time.
+// Simulates the controllers, the key-value store and the agent in steps of simulated time.
 class Model {
  public:
   explicit Model(OmittedGuard omitted_guard) : omitted_guard_(omitted_guard) {
@@ -92,7 +92,7 @@
   // Returns whether the task ran for longer than allowed after the confirmed cancellation.
   bool IsViolated() const { return violated_; }
   // Returns whether a leader that received a cancellation from a peer continues to lead while the
-  // state service is down.
+  // key-value store is down.
   bool ContinuesInOutage() const { return learned_ && store_down_ && task_running_ && AnyMayAct(); }
   // Returns a text that identifies the state: everything that affects later steps, with times
   // relative to now, so that equivalent states compare equal.
@@ -118,7 +118,7 @@
     std::string name;
     std::optional<Leadership> leadership;
     std::optional<CancellationLog> cancellations;
-    double contact = -1e18;         // time of the last answer of the state service
+    double contact = -1e18;         // time of the last answer of the key-value store
     int loaded = 0;                 // 0: nothing was read, 1: the first page, 2: all keys
     bool has_cancellation = false;  // whether this controller has the cancellation
     uint64_t incarnation = 0;       // number of starts; responses to earlier starts are dropped
@@ -156,7 +156,7 @@
       RunAgent();
     }
   }
-  // Processes one answer of the state service to the controller.
+  // Processes one answer of the key-value store to the controller.
   void AnswerFromStore(Controller& controller) {
     controller.contact = now_;
     const uint64_t store_lease = controller.leadership->store_lease();
@@ -263,7 +263,7 @@
   const config::DerivedSettings derived_{settings_};
   double now_ = 0;
   std::array<Controller, 3> controllers_;
-  // The state service.
+  // The key-value store.
   bool leader_refused_ = false;
   bool store_down_ = false;
   uint64_t revision_ = 0;
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -1,5 +1,5 @@
 // Tests of the election, of promises not to lead, and of the cancellations that a leader receives
-// from its peers during an outage of the state service.
+// from its peers during an outage of the key-value store.
 #include "mosspath/election/leadership.h"
 
 #include <gtest/gtest.h>
@@ -70,7 +70,7 @@
   EXPECT_FALSE(leadership_.MayAct(10 + derived_.store_lease_s));
   for (double now = 10; now < 40; now += derived_.store_lease_renew_s)
     leadership_.OnStoreLeaseRenewed(now);
-  // The controller's last read of the state service is too old.
+  // The controller's last read of the key-value store is too old.
   EXPECT_FALSE(leadership_.MayAct(10 + derived_.max_view_age_s + 0.1));
   leadership_.OnReadUpTo(39, 60);
   EXPECT_TRUE(leadership_.MayAct(40));
@@ -111,7 +111,7 @@
 TEST_F(LeadershipTest, ContinuesWhileAllPeersPromise) {
   Lead(50);
   const double now = 10 + derived_.store_lease_s;
-  EXPECT_FALSE(leadership_.BeginPromiseRound(now - 0.1, now));  // The state service answered.
+  EXPECT_FALSE(leadership_.BeginPromiseRound(now - 0.1, now));  // The key-value store answered.
   auto round = leadership_.BeginPromiseRound(10, now);
   ASSERT_TRUE(round);
   Receive(*round, "hut-1", Promise(40, 50), now);
@@ -122,15 +122,15 @@
   EXPECT_FALSE(leadership_.MayAct(now));  // hut-2 refused to promise.
   Receive(*round, "hut-2", Promise(40, 50), now + 0.1);
   EXPECT_TRUE(leadership_.MayAct(now + 0.1));
-  // The promises make the view as fresh as a read of the state service at the time of the promise
+  // The promises make the view as fresh as a read of the key-value store at the time of the promise
   // requests.
   EXPECT_NEAR(leadership_.view_age_s(now + 0.1), 0.1, 1e-9);
   EXPECT_FALSE(leadership_.MayAct(now + derived_.promise_s));
 }
 
-// A peer confirms a cancellation to its user while the leader alone can't reach the state service.
-// The leader must receive the cancellation before it may act, or it would keep the job's tasks
-// running.
+// A peer confirms a cancellation to its user while the leader alone can't reach the key-value
+// store. The leader must receive the cancellation before it may act, or it would keep the job's
+// tasks running.
 TEST_F(LeadershipTest, AnUnreadCancellationIsLearnedFirst) {
   Lead(50);
   const double now = 10 + derived_.store_lease_s;
@@ -152,7 +152,7 @@
   EXPECT_TRUE(leadership_.MayAct(now));
 }
 
-// A peer cancels two jobs and receives the responses of the state service in reverse order. The
+// A peer cancels two jobs and receives the responses of the key-value store in reverse order. The
 // peer therefore logs the earlier cancellation after it has sent the later cancellation to the
 // leader. A leader that then requested only entries after the later cancellation never received the
 // earlier cancellation.
@@ -206,7 +206,7 @@
   // process may have confirmed.
   EXPECT_FALSE(GetsPromise(90, 0, 20));
   Follow();
-  EXPECT_FALSE(GetsPromise(90, 19.9, 20));  // The state service answered at 19.9 s.
+  EXPECT_FALSE(GetsPromise(90, 19.9, 20));  // The key-value store answered at 19.9 s.
   EXPECT_TRUE(GetsPromise(90, 0, 20));
   EXPECT_FALSE(GetsPromise(89, 0, 20));  // Token 89 is an earlier leader's.
   leadership_.OnLeaderKey({});
@@ -214,8 +214,8 @@
   EXPECT_FALSE(GetsPromise(90, 0, 20));  // The leader key was deleted.
 }
 
-// Guards against expired leases: the first leader alone lost contact with the state service, a
-// second leader was elected, and then the state service was down for all controllers. The first
+// Guards against expired leases: the first leader alone lost contact with the key-value store, a
+// second leader was elected, and then the key-value store was down for all controllers. The first
 // leader had not read the second election. It refused the promise to the second leader, and all
 // leases expired.
 TEST_F(LeadershipTest, ALaterLeaderIsAccepted) {
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -1,7 +1,7 @@
-// End-to-end tests: run the real program on the loopback interface against fakes of the state
-// service and the cloud. They cover the user API, invalid input, crashed controllers and outages of
-// the state service. The tests wait for each expected state, up to a generous time limit, and check
-// no latencies.
+// End-to-end tests: run the real program on the loopback interface against fakes of the key-value
+// store and the cloud. They cover the user API, invalid input, crashed controllers and outages of
+// the key-value store. The tests wait for each expected state, up to a generous time limit, and
+// check no latencies.
 #include "fakes/loopback.h"
 
 #include <gtest/gtest.h>
@@ -180,7 +180,7 @@
 }
 
 // Users who poll often, also for jobs that have ended or were never submitted, must not use up the
-// read requests that the state service allows.
+// read requests that the key-value store allows.
 TEST_F(Loopback, PollingNeedsNoStoreReads) {
   EXPECT_EQ(Request(0, "POST", "/api/jobs", Job("req-000011", 3).dump()).first, 201);
   for (int node : {0, 1})
@@ -397,9 +397,9 @@
   EXPECT_TRUE(WaitUntil([&] { return JobStage(1, "req-000005") == "done"; }));
 }
 
-// The first compound failure in docs/compound-failures.md: the state service refuses only the
-// requests of the leader, another controller confirms a cancellation, and then the state service is
-// down for all controllers. The leader must receive the cancellation from its peer and stop the
+// The first compound failure in docs/compound-failures.md: the key-value store refuses only the
+// requests of the leader, another controller confirms a cancellation, and then the key-value store
+// is down for all controllers. The leader must receive the cancellation from its peer and stop the
 // tasks of that job. All other tasks must continue. The fake agents keep their tasks even if no
 // heartbeat is answered, so nothing else can stop a task.
 TEST_F(Loopback, ALeaderCutFromTheStoreLearnsOfCancellationsInAnOutage) {
--- a/tests/reconciliation_test.cc
+++ b/tests/reconciliation_test.cc
@@ -68,7 +68,7 @@
   scheduler_.OnCommandOutcome(batches[0], CommandOutcome::kUndetermined, nullptr, 2);
   SendHeartbeat("vm-1", 2.5);
   EXPECT_EQ(scheduler_.Counts("req-1").running, 1u);  // The agent may still execute the start.
-  // To get a higher fencing token, which is a revision of the state service, the leader writes a
+  // To get a higher fencing token, which is a revision of the key-value store, the leader writes a
   // record.
   scheduler_.Tick(2.6);
   ASSERT_FALSE(scheduler_.TakeRecords(test::kMaxBatchPacks, test::kMaxBatchBytes).empty());
--- a/tests/scheduler_fixture.h
+++ b/tests/scheduler_fixture.h
@@ -1,5 +1,5 @@
-// Fixtures of the scheduler's tests. The test itself plays the part of the agents, the state
-// service and the cloud. A suite that needs no fixture of its own uses an alias:
+// Fixtures of the scheduler's tests. The test itself plays the part of the agents, the key-value
+// store and the cloud. A suite that needs no fixture of its own uses an alias:
 // `using PlacementTest = SchedulerTest;`.
 #pragma once
 
--- a/tests/staleness_bound_test.cc
+++ b/tests/staleness_bound_test.cc
@@ -1,5 +1,5 @@
 // Tests of the bound on the age of a leader's view: a leader may act only if it has read all
-// changes of the state service recently enough.
+// changes of the key-value store recently enough.
 #include "mosspath/election/staleness_bound.h"
 
 #include <gtest/gtest.h>
