--- a/include/mosspath/wire/json.h
+++ b/include/mosspath/wire/json.h
@@ -39,9 +39,9 @@
 
 // The answer to an agent's heartbeat: the leader's fencing token and the commands.
 Json HeartbeatAnswer(uint64_t token, const std::vector<Command>& commands);
-// The request that sends commands to an agent outside a heartbeat's answer. `session`: the agent
-// epoch for which the commands are meant.
-Json DirectCommands(uint64_t token, uint64_t session, const std::vector<Command>& commands);
+// The request that sends commands to an agent outside a heartbeat's answer. `agent_epoch`: the
+// epoch of the agent for which the commands are meant.
+Json DirectCommands(uint64_t token, uint64_t agent_epoch, const std::vector<Command>& commands);
 std::vector<Command> ParseCommands(const Json& answer);
 // The answer to an agent that sent its heartbeat to the wrong controller. `report_to`: the
 // controller that should receive the agent's heartbeats; empty if the answering controller has
@@ -71,8 +71,8 @@
 std::string MachineListTarget(const std::string& after, int limit);
 
 const char* JobStateName(JobState s);
-Json JobAnswer(const std::string& id, JobState stage);
-Json JobAnswer(const std::string& id, JobState stage, uint32_t done, uint32_t running);
+Json JobAnswer(const std::string& id, JobState state);
+Json JobAnswer(const std::string& id, JobState state, uint32_t done_tasks, uint32_t running_tasks);
 Json ErrorAnswer(const std::string& what);
 
 }  // namespace mosspath::wire
--- a/simulation/main.cc
+++ b/simulation/main.cc
@@ -100,6 +100,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(options.jobs);
   for (unsigned i = 0; i < options.jobs; ++i) threads.emplace_back(run_days);
   for (auto& thread : threads) thread.join();
   return outcomes;
