Tests: a reserved port is also kept from listeners

Without the guard (the socket closed once its port is chosen, scratch copy) NoOtherSocketGetsAReservedPort passed: for connections the system prefers other ports than for listeners, which is what another fixture asks for.

--- a/tests/reserved_address_test.cc
+++ b/tests/reserved_address_test.cc
@@ -39,15 +39,18 @@
   }
 }
 
+// The system prefers other ports for connections than for listeners, so both are tried, each more
+// often than there are ports.
 TEST_F(ReservedAddressTest, NoOtherSocketGetsAReservedPort) {
-  // The system has about 28,000 ports for outgoing connections.
-  constexpr int kConnections = 30'000;
+  constexpr int kAttempts = 30'000;
   tcp::acceptor server(io_, {asio::ip::address_v4::loopback(), 0});
-  for (int i = 0; i < kConnections; ++i) {
+  for (int i = 0; i < kAttempts; ++i) {
     tcp::socket client(io_);
     client.connect(server.local_endpoint());
     server.accept().set_option(asio::socket_base::linger(true, 0));
     ASSERT_FALSE(ports_.contains(client.local_endpoint().port()));
+    const tcp::acceptor listener(io_, {asio::ip::address_v4::loopback(), 0});
+    ASSERT_FALSE(ports_.contains(listener.local_endpoint().port()));
   }
 }
 
