--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,4 +1,4 @@
-// A machine stops with all that is on it while all machines are full by their cards. See claim.txt.
+// A cheap machine is taken back while all machines are full by their cards. See claim.txt.
 #include <iostream>
 
 #include "world.h"
@@ -67,7 +67,8 @@
                 " tasks run");
   if (trouble) {
     const std::string machine = w.cloud->agents.begin()->first;
-    w.record.Line("TROUBLE machine " + machine + " stops with all that is on it");
+    w.record.Line("TROUBLE the cloud takes cheap machine " + machine + " back, without notice");
+    if (!w.cloud->agents.begin()->second->spot) return 2;
     w.cloud->Take(machine);
   }
   const double stopped_at = Now();
--- a/review/common/world.cc
+++ b/review/common/world.cc
@@ -322,6 +322,7 @@
   const uint64_t shift_sent = shift;
   const int node = node_;
   const std::string text = MakeReport().dump();
+  if (keep_reports) last_reports.push_back(text);
   const bool lost = mute || cut || world_.cut_from_agents.contains(node);
   auto alive = alive_;
   auto done = [this, alive, shift_sent, sent, node](const HttpResult& result) {
--- a/review/common/world.h
+++ b/review/common/world.h
@@ -188,6 +188,8 @@
     double until = 0;
   };
   const std::map<std::pair<std::string, uint64_t>, Task>& all() const { return tasks_; }
+  std::vector<std::string> last_reports;  // texts of reports, for copies that arrive late
+  bool keep_reports = false;
   uint64_t reports_answered = 0;
   std::string node_of_last_answer;
 
