--- a/review/common/world.cc
+++ b/review/common/world.cc
@@ -633,6 +633,7 @@
   if (request.path == "/hosts") {
     const json body = json::parse(request.body);
     const std::string hire = body.at("hire");
+    ++asked_;
     if (hires_.contains(hire)) return respond(Make(200, hires_[hire]));
     size_t live = 0;
     for (const auto& [id, host] : hosts_) live += host.taken ? 0 : 1;
--- a/review/common/world.h
+++ b/review/common/world.h
@@ -241,7 +241,7 @@
   void Take(const std::string& id);
   double list_lag_s = 0;
   std::function<void(const std::vector<std::string>&)> on_delete;
-  size_t hires() const { return hires_.size(); }
+  size_t hires() const { return asked_; }  // requests to rent, whatever the answer
 
  private:
   struct Host {
@@ -256,6 +256,7 @@
   World& world_;
   std::map<std::string, Host> hosts_;
   std::map<std::string, json> hires_;
+  size_t asked_ = 0;
   int next_ = 100001;
   Timer sweep_;
   std::unique_ptr<HttpServer> server_;
