Log: the load line shows GPUs, memory and what the last scaling plan saw

It now has used_gpus, gpus, used_memory_gb and memory_gb, and of the last plan planned_tasks (known), planned_needed (needed within the horizon) and planned_with_room (seen as having room on present machines).

`cluster::Resources` holds an amount of CPUs, GPUs and memory.

--- a/include/mosspath/autoscaler/scale_out.h
+++ b/include/mosspath/autoscaler/scale_out.h
@@ -22,6 +22,7 @@
 struct ScaleOutPlan {
   std::vector<ScaleOutRequest> requests;
   std::map<MachineOffer, AllottedCapacity> allotted_capacity;
+  DemandSummary demand;
 };
 
 // Makes one plan from the machines and the waiting demand.
@@ -68,6 +69,7 @@
   int machine_count_;                            // machines in any state, and requested machines
   std::map<MachineOffer, int> requested_;
   std::map<MachineOffer, AllottedCapacity> allotted_capacity_;
+  DemandSummary summary_;
 };
 
 }  // namespace mosspath::autoscaler
--- a/include/mosspath/autoscaler/scaling_planner.h
+++ b/include/mosspath/autoscaler/scaling_planner.h
@@ -47,11 +47,19 @@
   int count = 0;
 };
 
+// How the plan meets the demand, in tasks. Reserved capacity counts as waiting tasks.
+struct DemandSummary {
+  double waiting = 0;    // all waiting tasks
+  double needed = 0;     // waiting tasks for which machines are needed within the horizon
+  double with_room = 0;  // needed tasks to which free capacity of the present machines is allotted
+};
+
 struct ScalingPlan {
   std::vector<ScaleOutRequest> scale_out;
   std::vector<std::string> scale_in;  // idle machines, to be deleted now
   std::vector<std::string> drain;     // machines that are to take no new tasks
   std::vector<std::string> cordon;    // machines that take only urgent tasks that fit nowhere else
+  DemandSummary demand;
 };
 
 // What can be rented: machines of a type in a zone, as spot machines or on demand.
--- a/include/mosspath/cluster/machine.h
+++ b/include/mosspath/cluster/machine.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "mosspath/cluster/resources.h"
 #include "mosspath/wire/messages.h"
 
 namespace mosspath::cluster {
@@ -184,11 +185,12 @@
     return epoch >= min_agent_epoch &&
            (epoch > agent_epoch || (epoch == agent_epoch && sequence > heartbeat_sequence));
   }
-  bool Fits(double more_cpus, double more_gpus, double more_memory_gb) const {
-    constexpr double kSlack = 1e-6;
-    return used_cpus + more_cpus <= cpus + kSlack && used_gpus + more_gpus <= gpus + kSlack &&
-           used_memory_gb + more_memory_gb <= memory_gb + kSlack;
-  }
+  Resources resources() const { return {cpus, gpus, memory_gb}; }
+  Resources used() const { return {used_cpus, used_gpus, used_memory_gb}; }
+  // Returns what no task uses. Negative where the machine is overcommitted.
+  Resources free() const { return resources() - used(); }
+  // Returns whether the free resources suffice for one more task of the job.
+  bool Fits(const wire::JobSpec& spec) const { return cluster::Fits(TaskResources(spec), free()); }
 };
 
 }  // namespace mosspath::cluster
--- a/include/mosspath/scheduler/scheduler_state.h
+++ b/include/mosspath/scheduler/scheduler_state.h
@@ -76,6 +76,8 @@
   // have failed repeatedly. In the last case the plan may have to delete the machine, to rule out
   // that tasks run there.
   bool wants_scaling_plan = false;
+  // How the last scaling plan meets the demand.
+  autoscaler::DemandSummary planned_demand;
 };
 
 }  // namespace mosspath::scheduler
--- a/src/autoscaler/scale_out.cc
+++ b/src/autoscaler/scale_out.cc
@@ -28,7 +28,14 @@
   for (const Demand* demand : FewestOffersFirst()) {
     const PricedOffer* cheapest = catalog_.FindCheapest(*demand);
     if (cheapest == nullptr) continue;
-    const double missing_cpus = AllotFreeCapacity(*demand, NeededCpus(*demand, *cheapest));
+    const double task_cpus = TaskCpus(*demand, *cheapest->type);
+    const double needed_cpus = NeededCpus(*demand, *cheapest);
+    const double missing_cpus = AllotFreeCapacity(*demand, needed_cpus);
+    summary_.waiting += demand->waiting_tasks;
+    if (task_cpus > 0) {
+      summary_.needed += needed_cpus / task_cpus;
+      summary_.with_room += (needed_cpus - missing_cpus) / task_cpus;
+    }
     RequestMachines(*demand, missing_cpus);
   }
   ScaleOutPlan plan;
@@ -37,6 +44,7 @@
     plan.requests.push_back({type, zone, spot, count});
   }
   plan.allotted_capacity = std::move(allotted_capacity_);
+  plan.demand = summary_;
   return plan;
 }
 
--- a/src/autoscaler/scaling_planner.cc
+++ b/src/autoscaler/scaling_planner.cc
@@ -17,6 +17,7 @@
   plan.scale_in = std::move(in.scale_in);
   plan.drain = std::move(in.drain);
   plan.cordon = std::move(in.cordon);
+  plan.demand = out.demand;
   return plan;
 }
 
--- a/src/scheduler/ahead_delegation.cc
+++ b/src/scheduler/ahead_delegation.cc
@@ -54,17 +54,14 @@
 }
 
 bool AheadDelegation::HasMachineFor(const Job& job, uint64_t lease, double now) const {
-  const wire::JobSpec& spec = job.spec;
-  const auto fits_when_empty = [&](const Machine& machine) {
-    return spec.cpus <= machine.cpus && spec.gpus <= machine.gpus &&
-           spec.memory_gb <= machine.memory_gb;
-  };
+  const cluster::Resources task = cluster::TaskResources(job.spec);
   return std::any_of(cluster_.delegated_machines.begin(), cluster_.delegated_machines.end(),
                      [&](const auto& entry) {
                        const Machine& machine = entry.second;
                        return machine.shard_lease == lease &&
                               cluster_.IsSchedulable(machine, now) &&
-                              filter_.IsAllowedOn(job, machine, now) && fits_when_empty(machine);
+                              filter_.IsAllowedOn(job, machine, now) &&
+                              cluster::Fits(task, machine.resources());
                      });
 }
 
--- a/src/scheduler/machine_filter.cc
+++ b/src/scheduler/machine_filter.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 bool FitsInTier(const wire::JobSpec& spec, const cluster::Machine& machine, MachineTier tier) {
-  return IsInTier(machine, tier) && machine.Fits(spec.cpus, spec.gpus, spec.memory_gb);
+  return IsInTier(machine, tier) && machine.Fits(spec);
 }
 
 std::optional<MachineRejection> MachineFilter::CheckConstraints(const jobs::Job& job,
@@ -38,7 +38,7 @@
                                                      const cluster::Machine& machine,
                                                      MachineTier tier, double now) const {
   if (!IsInTier(machine, tier)) return MachineRejection::kNotInTier;
-  if (!machine.Fits(job.spec.cpus, job.spec.gpus, job.spec.memory_gb)) {
+  if (!machine.Fits(job.spec)) {
     return MachineRejection::kInsufficientResources;
   }
   if (const auto rejection = CheckConstraints(job, machine, now)) return rejection;
--- a/src/scheduler/machine_refill.cc
+++ b/src/scheduler/machine_refill.cc
@@ -38,7 +38,7 @@
 
 bool MachineRefill::CanPlace(Job& job, const Machine& machine, double now) {
   const wire::JobSpec& spec = job.spec;
-  if (job.pending.empty() || !machine.Fits(spec.cpus, spec.gpus, spec.memory_gb)) return false;
+  if (job.pending.empty() || !machine.Fits(spec)) return false;
   if (!reservation_.MayTake(spec, machine)) return false;
   // Gangs, services and jobs whose tasks must share a zone or spread over zones need a pass over
   // all machines.
--- a/src/scheduler/scaling_coordinator.cc
+++ b/src/scheduler/scaling_coordinator.cc
@@ -66,6 +66,7 @@
   const ScalingInput input = MakeInput(now, to_replace);
   ScalingPlan plan = autoscaler::PlanScaling(input, state_.policy.scaling);
   state_.wants_scaling_plan = false;
+  state_.planned_demand = plan.demand;
   ApplyDraining(plan);
   migration_.MigrateFromDraining(now);
   AppendReplacements(to_replace, now, plan.scale_in);
--- a/src/scheduler/status_reporter.cc
+++ b/src/scheduler/status_reporter.cc
@@ -161,20 +161,23 @@
   if (!state_.activity.IsLogDue(now)) return;
   size_t on_demand = 0;
   size_t draining = 0;
-  double cpus = 0;
-  double used_cpus = 0;
+  cluster::Resources total;
+  cluster::Resources used;
   const std::vector<const Machine*> machines = SchedulableMachines(now);
   for (const Machine* machine : machines) {
     on_demand += machine->spot ? 0 : 1;
     draining += machine->draining ? 1 : 0;
-    cpus += machine->cpus;
-    used_cpus += machine->used_cpus;
+    total += machine->resources();
+    used += machine->used();
   }
+  const autoscaler::DemandSummary& demand = state_.planned_demand;
   spdlog::info(
       "scheduler: load machines={} on_demand={} draining={} booting={} used_cpus={} cpus={} "
-      "waiting={}",
-      machines.size(), on_demand, draining, state_.provisioning.booting().size(), used_cpus, cpus,
-      WaitingByClass());
+      "used_gpus={} gpus={} used_memory_gb={:.0f} memory_gb={:.0f} planned_tasks={:.0f} "
+      "planned_needed={:.0f} planned_with_room={:.0f} waiting={}",
+      machines.size(), on_demand, draining, state_.provisioning.booting().size(), used.cpus,
+      total.cpus, used.gpus, total.gpus, used.memory_gb, total.memory_gb, demand.waiting,
+      demand.needed, demand.with_room, WaitingByClass());
 }
 
 // Returns "class:tasks/cpus" of each class, separated by commas.
