Autoscaler: room is whole tasks on one machine, by CPUs, GPUs and memory

The same holds for any accepted job that comes while all machines are full by GPUs or memory.

Cause: the planner knew the CPUs that are used on a machine, neither GPUs nor memory, and summed what was free over all machines of an offer. 32 CPUs beside 8 used GPUs on each of three machines were 96 "free" CPUs; the 8 waiting tasks take 12 each by their dominant share, 96, so nothing was missing. Placement asks for all three resources on one machine, so nothing was placed either.

Change: `FreeCapacity` allots the room of each machine to whole tasks by all three resources, as placement does. Demand, room and requests are counted in tasks: CPUs by dominant share differ between machine types, so room for five tasks of one type could cover the need of six on another. Scale-in keeps the machines on which room was allotted, in place of a sum by offer; what it counts as free or used is the dominant share, and on-demand machines are drained in favor of spot machines only if those cover their CPUs, GPUs and memory.

Class: a decision takes free CPUs, or a sum over machines, for room. Also mended by this: room in pieces on several machines counted as room for whole tasks.

Tests: WaitingTasksGetAMachineTest.*, ScalingPlannerTest.AServiceWaitingForMemoryOrGpusGetsAMachine.

--- a/include/mosspath/autoscaler/offer_catalog.h
+++ b/include/mosspath/autoscaler/offer_catalog.h
@@ -14,11 +14,8 @@
 // catalog owns the type.
 struct PricedOffer {
   const wire::MachineType* type = nullptr;
-  std::string zone;
-  bool spot = false;
+  MachineOffer key;
   double price_per_cpu = 0;
-
-  MachineOffer key() const { return {type->name, zone, spot}; }
 };
 
 // All offers of the machine types.
@@ -47,8 +44,14 @@
 // Returns the CPUs of a machine of the type that one task takes, including the CPUs that no other
 // task can use because of the memory and GPUs of this task.
 double TaskCpus(const Demand& demand, const wire::MachineType& type);
-// Returns the CPUs that are free on the machine, which is of the type; 0 if the machine is
-// overcommitted.
+// Returns how many tasks of the demand an empty machine of the type can run at once. At least 1 if
+// the type can serve the demand.
+double TasksPerMachine(const Demand& demand, const wire::MachineType& type);
+// Returns the CPUs of the machine, which is of the type, that its tasks take, as TaskCpus counts
+// them. At most the CPUs of the type.
+double UsedCpus(const FleetMachine& machine, const wire::MachineType& type);
+// Returns the CPUs of the machine that are left for tasks: none if its memory or its GPUs are used
+// up.
 double FreeCpus(const FleetMachine& machine, const wire::MachineType& type);
 
 }  // namespace mosspath::autoscaler
--- a/include/mosspath/autoscaler/scale_in.h
+++ b/include/mosspath/autoscaler/scale_in.h
@@ -8,12 +8,11 @@
 // day's load fell.
 #pragma once
 
-#include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "mosspath/autoscaler/offer_catalog.h"
-#include "mosspath/autoscaler/scale_out.h"
 #include "mosspath/autoscaler/scaling_planner.h"
 
 namespace mosspath::autoscaler {
@@ -31,7 +30,7 @@
   // The arguments outlive the planner.
   ScaleInPlanner(const ScalingInput& input, const ScalingTuning& tuning,
                  const OfferCatalog& catalog,
-                 const std::map<MachineOffer, AllottedCapacity>& allotted_capacity);
+                 const std::unordered_set<const FleetMachine*>& allotted_machines);
 
   // Makes the plan. Must be called only once.
   ScaleInPlan Plan();
@@ -48,17 +47,15 @@
   double RequiredFreeCpus() const;
   // Returns whether on-demand machines may be removed in favor of spot machines: all waiting work
   // may use spot machines, and the spot machines have at least ScalingTuning::spot_cover times the
-  // CPUs of the on-demand machines.
+  // CPUs, GPUs and memory of the on-demand machines.
   bool IsCoveredBySpot() const;
   // Returns the machines that are up, in the order in which they are removed.
   std::vector<Removable> InRemovalOrder() const;
-  // Returns the free CPUs of the machine that the scale-out plan may have allotted to waiting work.
-  double UsefulCpus(const FleetMachine& machine, const wire::MachineType& type) const;
   // Returns whether the machine is an on-demand machine whose work spot machines can take over.
   bool IsReplacedBySpot(const Removable& candidate) const;
   // Returns whether the machine may be removed. Without it, enough CPUs must stay free, unless spot
-  // machines replace the machine; enough on-demand CPUs must stay free; and the capacity that is
-  // allotted to waiting work must stay.
+  // machines replace the machine; enough on-demand CPUs must stay free; and the machine must have
+  // no capacity that is allotted to waiting work.
   bool CanRemove(const Removable& candidate) const;
   // Subtracts the machine's free capacity from the totals.
   void SubtractCapacity(const Removable& candidate);
@@ -69,13 +66,12 @@
   const ScalingInput& input_;
   const ScalingTuning& tuning_;
   const OfferCatalog& catalog_;
-  const std::map<MachineOffer, AllottedCapacity>& allotted_capacity_;
+  const std::unordered_set<const FleetMachine*>& allotted_machines_;
   double free_cpus_ = 0;            // on schedulable machines
   double on_demand_free_cpus_ = 0;  // on schedulable on-demand machines
   double used_cpus_ = 0;            // on schedulable machines
   double required_free_cpus_ = 0;
   bool covered_by_spot_ = false;
-  std::map<MachineOffer, double> useful_cpus_;  // sum of UsefulCpus over the machines of the offer
 };
 
 }  // namespace mosspath::autoscaler
--- a/include/mosspath/autoscaler/scaling_planner.h
+++ b/include/mosspath/autoscaler/scaling_planner.h
@@ -7,10 +7,20 @@
 #include <string>
 #include <vector>
 
+#include "mosspath/cluster/resources.h"
 #include "mosspath/wire/messages.h"
 
 namespace mosspath::autoscaler {
 
+// What can be rented: machines of a type in a zone, as spot machines or on demand.
+struct MachineOffer {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+
+  auto operator<=>(const MachineOffer&) const = default;
+};
+
 // Waiting tasks with the same resources and placement constraints.
 struct Demand {
   bool spot_allowed = true;
@@ -22,6 +32,9 @@
   double waiting_tasks = 0;  // tasks that are not placed
   double waiting_run_s = 0;  // expected run time of the waiting tasks, summed
   bool urgent = false;
+
+  // Returns the resources of one task.
+  cluster::Resources task() const { return {cpus, gpus, memory_gb}; }
 };
 
 // A machine that is up, or provisioned and still booting.
@@ -35,9 +48,13 @@
   bool idle = false;
   double idle_s = 0;
   double used_cpus = 0;
+  double used_gpus = 0;
+  double used_memory_gb = 0;
   double remaining_cpu_s = 0;  // CPU seconds that the machine's tasks are still expected to need
   bool draining = false;
   bool has_on_demand_work = false;  // the machine runs work that may not use spot machines
+
+  cluster::Resources used() const { return {used_cpus, used_gpus, used_memory_gb}; }
 };
 
 struct ScaleOutRequest {
@@ -62,15 +79,6 @@
   DemandSummary demand;
 };
 
-// What can be rented: machines of a type in a zone, as spot machines or on demand.
-struct MachineOffer {
-  std::string type;
-  std::string zone;
-  bool spot = false;
-
-  auto operator<=>(const MachineOffer&) const = default;
-};
-
 struct ScalingInput {
   std::vector<wire::MachineType> types;
   std::vector<Demand> demand;
@@ -91,7 +99,7 @@
   double keep_idle_boots = 0.02;  // an idle machine is kept for this many boot times
   double reserve = 0.1;           // free CPUs to keep, as a fraction of the used CPUs
   // On-demand machines may be removed in favor of spot machines if the spot machines have at least
-  // this many times the CPUs of the on-demand machines.
+  // this many times the CPUs, GPUs and memory of the on-demand machines.
   double spot_cover = 2.0;
   int max_machines = 100'000;
 };
--- a/src/autoscaler/offer_catalog.cc
+++ b/src/autoscaler/offer_catalog.cc
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr double kMinTypeCpus = 1e-3;
-constexpr double kTolerance = 1e-6;  // in CPUs, GPUs and GB
 
 bool IsTypeAllowed(const Demand& demand, const std::string& type) {
   return demand.types.empty() ||
@@ -20,9 +19,9 @@
     type_by_name_[type.name] = &type;
     for (const std::string& zone : type.zones) {
       if (type.spot_price > 0) {
-        offers_.push_back({&type, zone, true, type.spot_price / TypeCpus(type)});
+        offers_.push_back({&type, {type.name, zone, true}, type.spot_price / TypeCpus(type)});
       }
-      offers_.push_back({&type, zone, false, type.price / TypeCpus(type)});
+      offers_.push_back({&type, {type.name, zone, false}, type.price / TypeCpus(type)});
     }
   }
   std::stable_sort(offers_.begin(), offers_.end(), [](const PricedOffer& a, const PricedOffer& b) {
@@ -43,24 +42,29 @@
 
 bool Allows(const Demand& demand, const PricedOffer& offer) {
   const wire::MachineType& type = *offer.type;
-  if (offer.spot && !demand.spot_allowed) return false;
-  if (!demand.zone.empty() && demand.zone != offer.zone) return false;
+  if (offer.key.spot && !demand.spot_allowed) return false;
+  if (!demand.zone.empty() && demand.zone != offer.key.zone) return false;
   if (!IsTypeAllowed(demand, type.name)) return false;
-  return demand.cpus <= type.cpus + kTolerance && demand.gpus <= type.gpus + kTolerance &&
-         demand.memory_gb <= type.memory_gb + kTolerance;
+  return cluster::Fits(demand.task(), cluster::TypeResources(type));
 }
 
 double TypeCpus(const wire::MachineType& type) { return std::max(type.cpus, kMinTypeCpus); }
 
 double TaskCpus(const Demand& demand, const wire::MachineType& type) {
-  double fraction = demand.cpus / TypeCpus(type);
-  if (type.memory_gb > 0) fraction = std::max(fraction, demand.memory_gb / type.memory_gb);
-  if (type.gpus > 0) fraction = std::max(fraction, demand.gpus / type.gpus);
-  return fraction * TypeCpus(type);
+  return cluster::DominantShare(demand.task(), cluster::TypeResources(type)) * TypeCpus(type);
+}
+
+double TasksPerMachine(const Demand& demand, const wire::MachineType& type) {
+  return cluster::TasksThatFit(demand.task(), cluster::TypeResources(type));
+}
+
+double UsedCpus(const FleetMachine& machine, const wire::MachineType& type) {
+  const double share = cluster::DominantShare(machine.used(), cluster::TypeResources(type));
+  return std::min(1.0, share) * TypeCpus(type);
 }
 
 double FreeCpus(const FleetMachine& machine, const wire::MachineType& type) {
-  return std::max(0.0, TypeCpus(type) - machine.used_cpus);
+  return TypeCpus(type) - UsedCpus(machine, type);
 }
 
 }  // namespace mosspath::autoscaler
--- a/src/autoscaler/scale_in.cc
+++ b/src/autoscaler/scale_in.cc
@@ -5,13 +5,8 @@
 namespace mosspath::autoscaler {
 namespace {
 
-constexpr double kToleranceCpus = 1e-6;
 constexpr double kMinPrice = 1e-9;
 
-MachineOffer OfferOf(const FleetMachine& machine) {
-  return {machine.type, machine.zone, machine.spot};
-}
-
 // Returns the remaining work on the machine in relation to its price. Without the price, a large
 // machine would be removed only when few tasks are left on it.
 double RemainingWorkPerPrice(const FleetMachine& machine, const wire::MachineType& type) {
@@ -23,8 +18,8 @@
 
 ScaleInPlanner::ScaleInPlanner(const ScalingInput& input, const ScalingTuning& tuning,
                                const OfferCatalog& catalog,
-                               const std::map<MachineOffer, AllottedCapacity>& allotted_capacity)
-    : input_(input), tuning_(tuning), catalog_(catalog), allotted_capacity_(allotted_capacity) {}
+                               const std::unordered_set<const FleetMachine*>& allotted_machines)
+    : input_(input), tuning_(tuning), catalog_(catalog), allotted_machines_(allotted_machines) {}
 
 ScaleInPlan ScaleInPlanner::Plan() {
   CountFreeCapacity();
@@ -51,8 +46,7 @@
     const double free_cpus = FreeCpus(machine, *type);
     free_cpus_ += free_cpus;
     if (!machine.spot) on_demand_free_cpus_ += free_cpus;
-    used_cpus_ += machine.used_cpus;
-    useful_cpus_[OfferOf(machine)] += UsefulCpus(machine, *type);
+    used_cpus_ += UsedCpus(machine, *type);
   }
 }
 
@@ -68,14 +62,14 @@
 bool ScaleInPlanner::IsCoveredBySpot() const {
   const auto needs_on_demand = [](const Demand& demand) { return !demand.spot_allowed; };
   if (std::any_of(input_.demand.begin(), input_.demand.end(), needs_on_demand)) return false;
-  double spot_cpus = 0;
-  double on_demand_cpus = 0;
+  cluster::Resources spot;
+  cluster::Resources on_demand;
   for (const FleetMachine& machine : input_.machines) {
     const wire::MachineType* type = catalog_.FindType(machine.type);
     if (type == nullptr || !machine.up || !machine.schedulable) continue;
-    (machine.spot ? spot_cpus : on_demand_cpus) += TypeCpus(*type);
+    (machine.spot ? spot : on_demand) += cluster::TypeResources(*type);
   }
-  return spot_cpus >= tuning_.spot_cover * on_demand_cpus;
+  return cluster::Fits(tuning_.spot_cover * on_demand, spot);
 }
 
 std::vector<ScaleInPlanner::Removable> ScaleInPlanner::InRemovalOrder() const {
@@ -92,14 +86,6 @@
   return order;
 }
 
-double ScaleInPlanner::UsefulCpus(const FleetMachine& machine,
-                                  const wire::MachineType& type) const {
-  const auto allotted = allotted_capacity_.find(OfferOf(machine));
-  if (allotted == allotted_capacity_.end()) return 0;
-  const double free_cpus = FreeCpus(machine, type);
-  return free_cpus + kToleranceCpus >= allotted->second.min_usable_cpus ? free_cpus : 0;
-}
-
 bool ScaleInPlanner::IsReplacedBySpot(const Removable& candidate) const {
   const FleetMachine& machine = *candidate.machine;
   return covered_by_spot_ && !machine.spot && candidate.type->spot_price > 0 &&
@@ -117,17 +103,12 @@
   // rule, if the machines that the work may not use had enough free capacity, all machines that the
   // work may use were cordoned. No new machine was requested either, because the scale-out plan
   // still included the capacity of the cordoned machines.
-  const double useful_cpus = UsefulCpus(machine, *candidate.type);
-  if (useful_cpus <= 0) return true;
-  const MachineOffer offer = OfferOf(machine);
-  const double useful_left = useful_cpus_.at(offer) - useful_cpus;
-  return useful_left >= allotted_capacity_.at(offer).cpus - kToleranceCpus;
+  return !allotted_machines_.contains(&machine);
 }
 
 void ScaleInPlanner::SubtractCapacity(const Removable& candidate) {
   const FleetMachine& machine = *candidate.machine;
   const double free_cpus = FreeCpus(machine, *candidate.type);
-  useful_cpus_[OfferOf(machine)] -= UsefulCpus(machine, *candidate.type);
   if (!machine.spot) on_demand_free_cpus_ -= free_cpus;
   free_cpus_ -= free_cpus;
 }
--- a/src/autoscaler/scale_out.cc
+++ b/src/autoscaler/scale_out.cc
@@ -5,7 +5,7 @@
 namespace mosspath::autoscaler {
 namespace {
 
-constexpr double kToleranceCpus = 1e-6;
+constexpr double kTaskTolerance = 1e-6;
 // Offers are equally cheap if their prices per CPU differ by at most this factor.
 constexpr double kSamePriceFactor = 1.0001;
 
@@ -21,6 +21,7 @@
     : input_(input),
       tuning_(tuning),
       catalog_(catalog),
+      free_capacity_(input, catalog),
       machine_count_(static_cast<int>(input.machines.size())) {}
 
 ScaleOutPlan ScaleOutPlanner::Plan() {
@@ -28,35 +29,27 @@
   for (const Demand* demand : FewestOffersFirst()) {
     const PricedOffer* cheapest = catalog_.FindCheapest(*demand);
     if (cheapest == nullptr) continue;
-    const double task_cpus = TaskCpus(*demand, *cheapest->type);
-    const double needed_cpus = NeededCpus(*demand, *cheapest);
-    const double missing_cpus = AllotFreeCapacity(*demand, needed_cpus);
+    const double needed_tasks = NeededTasks(*demand, *cheapest);
+    const double missing_tasks = AllotFreeCapacity(*demand, needed_tasks);
     summary_.waiting += demand->waiting_tasks;
-    if (task_cpus > 0) {
-      summary_.needed += needed_cpus / task_cpus;
-      summary_.with_room += (needed_cpus - missing_cpus) / task_cpus;
-    }
-    RequestMachines(*demand, missing_cpus);
+    summary_.needed += needed_tasks;
+    summary_.with_room += needed_tasks - missing_tasks;
+    RequestMachines(*demand, missing_tasks);
   }
   ScaleOutPlan plan;
   for (const auto& [offer, count] : requested_) {
     const auto& [type, zone, spot] = offer;
     plan.requests.push_back({type, zone, spot, count});
   }
-  plan.allotted_capacity = std::move(allotted_capacity_);
+  plan.allotted_machines = free_capacity_.allotted_machines();
   plan.demand = summary_;
   return plan;
 }
 
 void ScaleOutPlanner::CountMachines() {
   for (const FleetMachine& machine : input_.machines) {
-    const wire::MachineType* type = catalog_.FindType(machine.type);
-    if (type == nullptr || !machine.schedulable) continue;
-    const double free_cpus = FreeCpus(machine, *type);
-    FreeCapacity& capacity = free_capacity_[{machine.type, machine.zone, machine.spot}];
-    capacity.cpus += free_cpus;
-    capacity.max_on_one_machine_cpus = std::max(capacity.max_on_one_machine_cpus, free_cpus);
-    ++machines_by_zone_[machine.zone];
+    const bool known_type = catalog_.FindType(machine.type) != nullptr;
+    if (known_type && machine.schedulable) ++machines_by_zone_[machine.zone];
   }
 }
 
@@ -76,73 +69,60 @@
   return order;
 }
 
-double ScaleOutPlanner::NeededCpus(const Demand& demand, const PricedOffer& offer) const {
-  const double task_cpus = TaskCpus(demand, *offer.type);
-  const double all_at_once = demand.waiting_tasks * task_cpus;
-  if (demand.urgent) return all_at_once;
+double ScaleOutPlanner::NeededTasks(const Demand& demand, const PricedOffer& offer) const {
+  if (demand.urgent) return demand.waiting_tasks;
   const double horizon_s = std::max(1.0, tuning_.horizon_boots * offer.type->boot_s);
-  const double within_horizon = demand.waiting_run_s * task_cpus / horizon_s;
-  return std::min(all_at_once, std::max(within_horizon, task_cpus));
+  return std::min(demand.waiting_tasks, std::max(1.0, demand.waiting_run_s / horizon_s));
 }
 
-double ScaleOutPlanner::AllotFreeCapacity(const Demand& demand, double needed_cpus) {
-  double missing_cpus = needed_cpus;
+double ScaleOutPlanner::AllotFreeCapacity(const Demand& demand, double needed_tasks) {
+  double missing_tasks = needed_tasks;
   for (const PricedOffer& offer : catalog_.offers()) {
+    if (missing_tasks <= kTaskTolerance) break;
     if (!Allows(demand, offer)) continue;
-    const double task_cpus = TaskCpus(demand, *offer.type);
-    FreeCapacity& capacity = free_capacity_[offer.key()];
-    // Free CPUs of an offer are allotted only if at least one of its machines has room for a whole
-    // task. Without this rule, a replica waited forever, because the free capacity was spread over
-    // machines in pieces that were too small for the replica.
-    if (capacity.max_on_one_machine_cpus + kToleranceCpus < task_cpus) continue;
-    const double taken = std::min(capacity.cpus, missing_cpus);
-    capacity.cpus -= taken;
-    missing_cpus -= taken;
-    if (taken <= 0) continue;
-    AllottedCapacity& allotted = allotted_capacity_[offer.key()];
-    allotted.cpus += taken;
-    allotted.min_usable_cpus = std::min(allotted.min_usable_cpus, task_cpus);
+    missing_tasks -= free_capacity_.Allot(demand, offer, missing_tasks);
   }
-  return missing_cpus;
+  return missing_tasks;
 }
 
-void ScaleOutPlanner::RequestMachines(const Demand& demand, double missing_cpus) {
+void ScaleOutPlanner::RequestMachines(const Demand& demand, double missing_tasks) {
   const std::vector<PricedOffer>& offers = catalog_.offers();
   size_t begin = 0;
-  while (begin < offers.size() && missing_cpus > kToleranceCpus) {
+  while (begin < offers.size() && missing_tasks > kTaskTolerance) {
     const double max_price = offers[begin].price_per_cpu * kSamePriceFactor;
     std::vector<const PricedOffer*> open;
     size_t end = begin;
     for (; end < offers.size() && offers[end].price_per_cpu <= max_price; ++end) {
       if (IsOpenFor(demand, offers[end])) open.push_back(&offers[end]);
     }
-    if (!open.empty()) missing_cpus = RequestEvenly(open, missing_cpus);
+    if (!open.empty()) missing_tasks = RequestEvenly(demand, open, missing_tasks);
     begin = end;
   }
 }
 
 bool ScaleOutPlanner::IsOpenFor(const Demand& demand, const PricedOffer& offer) const {
-  const auto closed = input_.closed_until.find(offer.key());
+  const auto closed = input_.closed_until.find(offer.key);
   if (closed != input_.closed_until.end() && closed->second > input_.now) return false;
   // On-demand machines are not requested as a substitute while the cloud has no capacity for spot
   // machines of the type.
-  if (!offer.spot && demand.spot_allowed && offer.type->spot_price > 0) return false;
+  if (!offer.key.spot && demand.spot_allowed && offer.type->spot_price > 0) return false;
   return Allows(demand, offer);
 }
 
-double ScaleOutPlanner::RequestEvenly(const std::vector<const PricedOffer*>& offers,
-                                      double missing_cpus) {
-  while (missing_cpus > kToleranceCpus && machine_count_ < tuning_.max_machines) {
+double ScaleOutPlanner::RequestEvenly(const Demand& demand,
+                                      const std::vector<const PricedOffer*>& offers,
+                                      double missing_tasks) {
+  while (missing_tasks > kTaskTolerance && machine_count_ < tuning_.max_machines) {
     const PricedOffer& offer = **std::min_element(
         offers.begin(), offers.end(), [&](const PricedOffer* a, const PricedOffer* b) {
-          return machines_by_zone_[a->zone] < machines_by_zone_[b->zone];
+          return machines_by_zone_[a->key.zone] < machines_by_zone_[b->key.zone];
         });
-    ++requested_[offer.key()];
-    ++machines_by_zone_[offer.zone];
+    ++requested_[offer.key];
+    ++machines_by_zone_[offer.key.zone];
     ++machine_count_;
-    missing_cpus -= TypeCpus(*offer.type);
+    missing_tasks -= TasksPerMachine(demand, *offer.type);
   }
-  return missing_cpus;
+  return missing_tasks;
 }
 
 }  // namespace mosspath::autoscaler
--- a/src/autoscaler/scaling_planner.cc
+++ b/src/autoscaler/scaling_planner.cc
@@ -11,7 +11,7 @@
 ScalingPlan PlanScaling(const ScalingInput& input, const ScalingTuning& tuning) {
   const OfferCatalog catalog(input.types);
   ScaleOutPlan out = ScaleOutPlanner(input, tuning, catalog).Plan();
-  ScaleInPlan in = ScaleInPlanner(input, tuning, catalog, out.allotted_capacity).Plan();
+  ScaleInPlan in = ScaleInPlanner(input, tuning, catalog, out.allotted_machines).Plan();
   ScalingPlan plan;
   plan.scale_out = std::move(out.requests);
   plan.scale_in = std::move(in.scale_in);
--- a/src/scheduler/scaling_coordinator.cc
+++ b/src/scheduler/scaling_coordinator.cc
@@ -183,6 +183,8 @@
   described.up = true;
   described.schedulable = state_.cluster.IsSchedulable(machine, now);
   described.used_cpus = machine.used_cpus;
+  described.used_gpus = machine.used_gpus;
+  described.used_memory_gb = machine.used_memory_gb;
   described.draining = machine.draining;
   return described;
 }
--- a/tests/scaling_planner_test.cc
+++ b/tests/scaling_planner_test.cc
@@ -110,5 +110,132 @@
   EXPECT_TRUE(plan.scale_out.empty());
 }
 
+// Waiting tasks of 8 CPUs, 1 GPU and 64 GB, and machines of 32 CPUs, 4 GPUs and 256 GB.
+class WaitingTasksGetAMachineTest : public ::testing::Test {
+ protected:
+  WaitingTasksGetAMachineTest() {
+    wire::MachineType type = test::BoxType(/*cpus=*/32, /*memory_gb=*/256);
+    type.gpus = 4;
+    type.price = 1;
+    type.boot_s = 10;
+    type.zones = {"a"};
+    input_.types = {type};
+    autoscaler::Demand demand;
+    demand.cpus = 8;
+    demand.gpus = 1;
+    demand.memory_gb = 64;
+    demand.urgent = true;
+    input_.demand = {demand};
+  }
+
+  void AddMachine(const cluster::Resources& used) {
+    autoscaler::FleetMachine machine =
+        SchedulableMachine("vm-" + std::to_string(input_.machines.size()), "a", false);
+    machine.used_cpus = used.cpus;
+    machine.used_gpus = used.gpus;
+    machine.used_memory_gb = used.memory_gb;
+    machine.remaining_cpu_s = used.cpus;
+    input_.machines.push_back(machine);
+  }
+  int RequestedFor(double waiting_tasks) {
+    input_.demand[0].waiting_tasks = waiting_tasks;
+    int machines = 0;
+    for (const auto& request : autoscaler::PlanScaling(input_, {}).scale_out) {
+      machines += request.count;
+    }
+    return machines;
+  }
+
+  autoscaler::ScalingInput input_;
+};
+
+// Guards against tasks that wait for ever: CPUs beside used-up GPUs counted as room for tasks.
+TEST_F(WaitingTasksGetAMachineTest, WhenTheOthersAreFullByGpus) {
+  for (int i = 0; i < 3; ++i) AddMachine({.cpus = 16, .gpus = 4, .memory_gb = 128});
+  EXPECT_EQ(RequestedFor(1), 1);
+  EXPECT_EQ(RequestedFor(5), 2);
+}
+
+// Guards against tasks that wait for ever: CPUs beside used-up memory counted as room for tasks.
+TEST_F(WaitingTasksGetAMachineTest, WhenTheOthersAreFullByMemory) {
+  for (int i = 0; i < 3; ++i) AddMachine({.cpus = 16, .gpus = 2, .memory_gb = 256});
+  EXPECT_EQ(RequestedFor(1), 1);
+}
+
+// Guards against room that is summed by resource: no machine has all that a task needs.
+TEST_F(WaitingTasksGetAMachineTest, WhenGpusAreFreeOnOneMachineAndMemoryOnAnother) {
+  AddMachine({.cpus = 8, .gpus = 0, .memory_gb = 256});
+  AddMachine({.cpus = 8, .gpus = 4, .memory_gb = 0});
+  EXPECT_EQ(RequestedFor(1), 1);
+}
+
+// Guards against room that is summed over machines: each machine has room for one task only.
+TEST_F(WaitingTasksGetAMachineTest, WhenRoomForHalfATaskIsLeftOnEach) {
+  for (int i = 0; i < 6; ++i) AddMachine({.cpus = 20, .gpus = 0, .memory_gb = 0});
+  EXPECT_EQ(RequestedFor(6), 0);
+  EXPECT_EQ(RequestedFor(8), 1);
+}
+
+// Guards against a machine type that is dearer by what a task takes: the room is counted in tasks.
+TEST_F(WaitingTasksGetAMachineTest, WhenTheOthersAreOfATypeThatHoldsFewerTasks) {
+  input_.types.push_back(input_.types[0]);
+  input_.types[1].name = "small-memory";
+  input_.types[1].price = 2;
+  input_.types[1].memory_gb = 64;
+  AddMachine({});
+  input_.machines[0].type = "small-memory";
+  EXPECT_EQ(RequestedFor(1), 0);
+  EXPECT_EQ(RequestedFor(2), 1);
+}
+
+// Guards against the return of the only free machine: CPUs beside used-up GPUs counted as reserve.
+TEST_F(WaitingTasksGetAMachineTest, TheReserveIsNotOnMachinesThatAreFullByGpus) {
+  for (int i = 0; i < 3; ++i) AddMachine({.cpus = 16, .gpus = 4, .memory_gb = 128});
+  AddMachine({});
+  input_.machines[3].idle = true;
+  input_.machines[3].idle_s = 1000;
+  input_.demand.clear();
+  input_.burst_cpus = 8;
+  const autoscaler::ScalingPlan plan = autoscaler::PlanScaling(input_, {});
+  EXPECT_TRUE(plan.scale_in.empty());
+  EXPECT_EQ(std::count(plan.cordon.begin(), plan.cordon.end(), "vm-3"), 0);
+}
+
+// Guards against draining the only machine with GPUs in favor of spot machines that have none.
+TEST_F(WaitingTasksGetAMachineTest, GpusAreNotReplacedBySpotMachinesWithoutGpus) {
+  input_.types[0].spot_price = 0.3;
+  input_.types.push_back(input_.types[0]);
+  input_.types[1].name = "no-gpus";
+  input_.types[1].gpus = 0;
+  AddMachine({.cpus = 8, .gpus = 1, .memory_gb = 64});
+  for (int i = 1; i < 4; ++i) {
+    AddMachine({.cpus = 32, .gpus = 0, .memory_gb = 0});
+    input_.machines.back().type = "no-gpus";
+    input_.machines.back().spot = true;
+  }
+  input_.demand.clear();
+  EXPECT_TRUE(autoscaler::PlanScaling(input_, {.reserve = 1}).drain.empty());
+}
+
+// Guards against tasks that wait for ever, with the leader's own figures of its machines.
+TEST_F(ScalingPlannerTest, AServiceWaitingForMemoryOrGpusGetsAMachine) {
+  type_.gpus = 2;
+  scheduler_.SetMachineTypes({type_});
+  AddReadyMachine("vm-1", 0);
+  for (const bool by_memory : {true, false}) {
+    wire::JobSpec spec = Job(by_memory ? 1 : 2, 3, 1, wire::Priority::kCritical);
+    spec.kind = wire::JobKind::kService;
+    spec.spot_allowed = true;  // Otherwise capacity is reserved, too.
+    spec.memory_gb = by_memory ? type_.memory_gb / 2 : 0;
+    spec.gpus = by_memory ? 0 : 1;
+    scheduler_.AddJob(spec, 11, 1);
+    ASSERT_EQ(Starts(SendHeartbeat("vm-1", 2)).size(), 2u);
+    const auto requests = scheduler_.PlanScaling(3).scale_out;
+    ASSERT_EQ(requests.size(), 1u);
+    EXPECT_EQ(requests[0].count, 1);
+    scheduler_.RemoveJob(spec.id, 3);
+  }
+}
+
 }  // namespace
 }  // namespace mosspath::scheduler
