Task migration: a task moves only if it fits on a machine that its job may use

Seen by callers: tasks on an on-demand machine that is to be replaced are stopped, save a checkpoint, and then wait, since no other machine has the memory or the GPUs for them.

Cause: MigrateFromDraining compared the CPUs of the machine's tasks with the sum of the CPUs that are free on all machines, whatever their memory and GPUs, the size of the pieces, and whether the jobs may use these machines.

Change: `MigrationTargets` reserves room for each task on one machine that its job may use, by all three resources, or for none of the machine's tasks. What waiting tasks need is subtracted from the sum as before, now of each resource.

Tests: TaskMigrationTest.NothingIsStoppedForMachinesThatAreFullByMemory failed on (2 stops for 0), and fails with the guard taken out (a target's CPUs compared only). TaskMigrationTest.TasksMoveToSpotMachinesWithRoom holds before and after: migration had no test.

--- a/include/mosspath/scheduler/task_migration.h
+++ b/include/mosspath/scheduler/task_migration.h
@@ -16,7 +16,7 @@
   explicit TaskMigration(SchedulerState& state) : state_(state) {}
 
   // Requests the stop of all tasks on a draining machine, with time for a checkpoint. The tasks are
-  // stopped only if all of them can be moved, they fit into the free capacity of other machines,
+  // stopped only if all of them can be moved, each fits on another machine that its job may use,
   // and the remaining run time of at least one of them is worth the cost of a move. The stopped
   // tasks become pending and are placed like other pending tasks.
   void MigrateFromDraining(double now);
@@ -29,9 +29,6 @@
   // Whether all tasks of a machine can be moved, and whether the move is worth its cost.
   enum class MigrationValue { kImpossible, kNotWorthwhile, kWorthwhile };
 
-  // Returns the free CPUs on machines that accept new tasks, less the CPUs of pending tasks; the
-  // result may be negative.
-  double FreeCpus(double now) const;
   MigrationValue ValueOfMigrating(const cluster::Machine& machine, double now) const;
   bool IsMovable(const jobs::Job& job, const wire::TaskId& task,
                  const cluster::Allocation& allocation, double now) const;
--- a/src/scheduler/task_migration.cc
+++ b/src/scheduler/task_migration.cc
@@ -3,6 +3,9 @@
 #include <spdlog/spdlog.h>
 
 #include <iterator>
+#include <optional>
+
+#include "mosspath/scheduler/migration_targets.h"
 
 namespace mosspath::scheduler {
 
@@ -23,29 +26,17 @@
 }  // namespace
 
 void TaskMigration::MigrateFromDraining(double now) {
-  double free_cpus = FreeCpus(now);
+  std::optional<MigrationTargets> targets;
   for (auto& [id, machine] : state_.cluster.machines) {
-    if (!machine.draining || !machine.token_confirmed || machine.used_cpus > free_cpus) continue;
+    if (!machine.draining || !machine.token_confirmed) continue;
     if (ValueOfMigrating(machine, now) != MigrationValue::kWorthwhile) continue;
+    if (!targets) targets.emplace(state_, now);
+    if (!targets->ReserveFor(machine)) continue;
     StopTasks(machine);
-    free_cpus -= machine.used_cpus;
     spdlog::debug("scheduler: migrating_tasks machine={}", id);
   }
 }
 
-double TaskMigration::FreeCpus(double now) const {
-  double free_cpus = 0;
-  for (const auto& [id, machine] : state_.cluster.machines) {
-    if (!state_.cluster.IsSchedulable(machine, now) || machine.draining) continue;
-    free_cpus += machine.cpus - machine.used_cpus;
-  }
-  for (const auto& [id, job] : state_.cluster.jobs) {
-    if (now < job->not_before) continue;
-    free_cpus -= static_cast<double>(job->pending.size()) * job->spec.cpus;
-  }
-  return free_cpus;
-}
-
 TaskMigration::MigrationValue TaskMigration::ValueOfMigrating(const Machine& machine,
                                                               double now) const {
   bool worthwhile = false;
