Placement: the zone of a job is the one with room for the most of its tasks

Seen by callers: a gang whose tasks share a zone waits for ever beside a zone that has room for all of it, and no machine is requested.

Cause: the zone with the most free CPUs was chosen, whatever its memory and GPUs. A gang is placed whole or not at all, so it waited as long as that zone had the most CPUs; the planner sees the room in the other zone and requests nothing. An array started in the chosen zone and was bound to it from then on.

Change: the zone with room for the most pending tasks, by all three resources, is chosen; among zones with room for all, the one with the most free CPUs, as before.

Test: PlacementTest.AGangForOneZoneStartsInTheZoneThatHasRoomForAllOfIt. On: failed (0 tasks placed for 2).

--- a/include/mosspath/scheduler/placement_attempt.h
+++ b/include/mosspath/scheduler/placement_attempt.h
@@ -87,7 +87,9 @@
   // for the job.
   bool ChooseSingleZone();
   std::string ZoneOfPlacedTasks() const;
-  std::string ZoneWithMostFreeCpus() const;
+  // Returns the zone with room for the most pending tasks; of several, the one with the most free
+  // CPUs. Empty if no zone has room for a task.
+  std::string ZoneWithMostRoom() const;
   // Returns the shard with the most free CPUs on machines that the job may use.
   size_t ChooseHomeShard() const;
   CandidateSet CollectCandidates(const PlacementScope& scope);
--- a/src/scheduler/placement_attempt.cc
+++ b/src/scheduler/placement_attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "mosspath/cluster/resources.h"
 #include "mosspath/scheduler/array_placement.h"
 #include "mosspath/scheduler/gang_placement.h"
 #include "mosspath/scheduler/image_fetch.h"
@@ -70,7 +71,7 @@
 
 bool PlacementAttempt::ChooseSingleZone() {
   single_zone_ = ZoneOfPlacedTasks();
-  if (single_zone_.empty()) single_zone_ = ZoneWithMostFreeCpus();
+  if (single_zone_.empty()) single_zone_ = ZoneWithMostRoom();
   return !single_zone_.empty();
 }
 
@@ -82,21 +83,31 @@
   return placed_zone;
 }
 
-std::string PlacementAttempt::ZoneWithMostFreeCpus() const {
-  std::map<std::string, double> free_cpus;
+std::string PlacementAttempt::ZoneWithMostRoom() const {
+  struct Room {
+    double tasks = 0;
+    double cpus = 0;
+    auto operator<=>(const Room&) const = default;
+  };
+  const cluster::Resources task = cluster::TaskResources(job_.spec);
+  std::map<std::string, Room> room_by_zone;
   for (const Machine* machine : pool_) {
     // A job whose tasks must share a zone is not delegated to shard holders.
     if (machine->shard_lease != 0) continue;
     const bool fits = FitsInTier(*machine, MachineTier::kInService) ||
                       (IsUrgent() && FitsInTier(*machine, MachineTier::kCordoned));
-    if (fits && stages_.filter.IsAllowedOn(job_, *machine, now_)) {
-      free_cpus[machine->zone] += machine->cpus - machine->used_cpus;
-    }
+    if (!fits || !stages_.filter.IsAllowedOn(job_, *machine, now_)) continue;
+    Room& room = room_by_zone[machine->zone];
+    room.tasks += cluster::TasksThatFit(task, machine->free());
+    room.cpus += machine->free().cpus;
   }
-  const auto most_free =
-      std::max_element(free_cpus.begin(), free_cpus.end(),
+  // Zones with room for all pending tasks are equal but for their free CPUs.
+  const double pending_tasks = static_cast<double>(job_.pending.size());
+  for (auto& [zone, room] : room_by_zone) room.tasks = std::min(room.tasks, pending_tasks);
+  const auto most_room =
+      std::max_element(room_by_zone.begin(), room_by_zone.end(),
                        [](const auto& a, const auto& b) { return a.second < b.second; });
-  return most_free == free_cpus.end() ? std::string() : most_free->first;
+  return most_room == room_by_zone.end() ? std::string() : most_room->first;
 }
 
 size_t PlacementAttempt::ChooseHomeShard() const {
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -133,6 +133,35 @@
   EXPECT_EQ(first + Starts(SendHeartbeat("vm-2", 2)).size(), 6u);
 }
 
+// Guards against a gang that waits for ever: the zone with the most free CPUs was chosen for it,
+// even if only another zone had the memory for all its tasks.
+TEST_F(PlacementTest, AGangForOneZoneStartsInTheZoneThatHasRoomForAllOfIt) {
+  for (const char* zone : {"a", "b"}) {
+    wire::Heartbeat heartbeat = NextHeartbeat(std::string("vm-") + zone, 1);
+    heartbeat.zone = zone;
+    scheduler_.OnHeartbeat(heartbeat, 0);
+  }
+  scheduler_.Tick(0);
+  MakeRecordsDurable(scheduler_);
+  // Zone a: 3 CPUs and 2 GB are left. Zone b: 2 CPUs and 15 GB.
+  auto memory_user = Job(1, 1, 1, wire::Priority::kNormal);
+  memory_user.zone = "a";
+  memory_user.memory_gb = 14;
+  scheduler_.AddJob(memory_user, 11, 0);
+  auto cpu_user = Job(2, 1, 2, wire::Priority::kNormal);
+  cpu_user.zone = "b";
+  scheduler_.AddJob(cpu_user, 12, 0);
+  scheduler_.Place(1);
+  auto gang = Job(3, 2, 1, wire::Priority::kNormal);
+  gang.kind = wire::JobKind::kGang;
+  gang.single_zone = true;
+  gang.memory_gb = 2;
+  scheduler_.AddJob(gang, 13, 1);
+  scheduler_.Place(2);
+  EXPECT_EQ(scheduler_.Counts("req-1").running + scheduler_.Counts("req-2").running, 2u);
+  EXPECT_EQ(scheduler_.Counts("req-3").running, 2u);
+}
+
 TEST_F(PlacementTest, NoAttemptNumberIsUsedTwice) {
   AddReadyMachine("vm-1", 0);
   scheduler_.AddJob(Job(1, 1, 1, wire::Priority::kNormal), 11, 0);
