Simulation: machines refuse and have room by CPUs, GPUs and memory

The simulated agent accepted a start by CPUs alone, and the check of room for waiting jobs looked at CPUs alone.

--- a/simulation/cluster.cc
+++ b/simulation/cluster.cc
@@ -9,7 +9,6 @@
 
 constexpr double kCheckIntervalS = 0.5;
 constexpr uint64_t kChecksPerRoomCheck = 4;
-constexpr double kCpuTolerance = 1e-6;  // rounding tolerance for sums of CPUs
 
 // Returns whether the machine could run one more task of the job, by all of the job's requirements.
 bool HasRoom(const SimulatedAgent& agent, const RuleChecker::WaitingJob& waiting) {
@@ -25,7 +24,7 @@
   const size_t in_zone = found == by_zone.end() ? 0 : found->second;
   if (spec.single_zone && !by_zone.empty() && in_zone == 0) return false;
   if (spec.spread_over_zones && in_zone + 1 > (spec.tasks + 1) / 2) return false;
-  return agent.used_cpus() + spec.cpus <= agent.cpus() + kCpuTolerance;
+  return cluster::Fits(cluster::TaskResources(spec), agent.resources() - agent.used());
 }
 
 }  // namespace
--- a/simulation/simulated_agent.cc
+++ b/simulation/simulated_agent.cc
@@ -26,7 +26,6 @@
 constexpr double kMaxResumeDelayS = 0.01;  // maximum delay of held actions after a hang
 constexpr double kFailedRunS = 0.2;
 constexpr double kRunTimeSpread = 0.5;  // maximum relative deviation from the estimate
-constexpr double kCpuTolerance = 1e-6;  // rounding tolerance for sums of CPUs
 
 }  // namespace
 
@@ -232,13 +231,13 @@
 std::optional<ExitReason> SimulatedAgent::FindRefusal(const AttemptId& id) const {
   const auto spec = environment_.specs.find(id.task.job);
   if (spec == environment_.specs.end()) return ExitReason::kUnknownJob;
-  double cpus = spec->second.cpus;
   for (const auto& [other, attempt] : attempts_) {
     if (attempt.state == TaskState::kExited) continue;
     if (other.task == id.task) return ExitReason::kOtherAttemptPresent;
-    cpus += environment_.specs.at(other.task.job).cpus;
   }
-  if (cpus > type_.cpus + kCpuTolerance) return ExitReason::kInsufficientResources;
+  if (!cluster::Fits(cluster::TaskResources(spec->second), resources() - used())) {
+    return ExitReason::kInsufficientResources;
+  }
   return std::nullopt;
 }
 
@@ -363,12 +362,13 @@
   return then >= created_at_ && (alive_ || then < terminated_at_);
 }
 
-double SimulatedAgent::used_cpus() const {
-  double cpus = 0;
+cluster::Resources SimulatedAgent::used() const {
+  cluster::Resources used;
   for (const auto& [id, attempt] : attempts_) {
-    if (attempt.state != TaskState::kExited) cpus += environment_.specs.at(id.task.job).cpus;
+    if (attempt.state == TaskState::kExited) continue;
+    used += cluster::TaskResources(environment_.specs.at(id.task.job));
   }
-  return cpus;
+  return used;
 }
 
 size_t SimulatedAgent::running_tasks() const {
--- a/simulation/simulated_agent.h
+++ b/simulation/simulated_agent.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "mosspath/cluster/resources.h"
 #include "mosspath/wire/messages.h"
 
 namespace mosspath::simulation {
@@ -37,7 +38,7 @@
   const std::string& id() const { return id_; }
   const std::string& zone() const { return zone_; }
   const std::string& type() const { return type_.name; }
-  double cpus() const { return type_.cpus; }
+  cluster::Resources resources() const { return cluster::TypeResources(type_); }
   bool spot() const { return spot_; }
   const std::string& address() const { return address_; }
   void set_address(const std::string& address) { address_ = address; }
@@ -81,8 +82,8 @@
   void RunUnlessHung(std::function<void()> action);
   // Returns whether the machine existed at the time `then`.
   bool ExistedAt(double then) const;
-  // Returns the CPUs of all tasks that have not exited.
-  double used_cpus() const;
+  // Returns the resources of all tasks that have not exited.
+  cluster::Resources used() const;
   size_t running_tasks() const;
   bool RunsJob(const std::string& job) const;
 
