--- a/review/common-2/machines.h
+++ b/review/common-2/machines.h
@@ -152,6 +152,22 @@
     return static_cast<size_t>(std::count_if(tasks_.begin(), tasks_.end(), [](const auto& t) { return t.second.stage == "running"; }));
   }
   void set_sick(bool sick) { sick_ = sick; }
+  // The direct commands that were carried out, and the arrival of a late copy of one of them.
+  struct Batch {
+    double at = 0;
+    json body;
+  };
+  const std::vector<Batch>& batches() const { return batches_; }
+  void RepeatCommands(const Batch& batch) {
+    net::HttpRequest request;
+    request.method = "POST";
+    request.path = "/commands";
+    request.body = batch.body.dump();
+    record_.Line("%s: a copy of the direct command of %.1f s ago arrives: %s", id_.c_str(), net::Now() - batch.at, request.body.c_str());
+    Execute(request, [this](const net::HttpResponse& r) {
+      record_.Line("%s: the copy is answered %d %s", id_.c_str(), r.status, r.body.c_str());
+    });
+  }
   // Delays each direct command by this long before it is looked at (0: none).
   std::function<double()> command_delay;
 
@@ -161,6 +177,7 @@
     double ends_at = 0, fetched_at = 0;
     double vcpus = 0, mem_gb = 0;
     std::string image;
+    bool fails = false;
   };
   using Key = std::pair<std::string, uint64_t>;
 
@@ -202,6 +219,7 @@
     const bool raised = body["baton"].get<uint64_t>() > baton_;
     baton_ = body["baton"];
     Execute(body.at("calls"));
+    batches_.push_back({net::Now(), body});
     if (raised) ReportSoon();
     Answer(respond, 200, MakeReport());
   }
@@ -263,11 +281,12 @@
         images_.insert(task.image);
         task.stage = "running";
         judge_.OnStarted(id_, shore_, it->first.first);
-        task.ends_at = judge_.results.contains(it->first.first) ? now : now + judge_.run_s(it->first.first);
+        task.ends_at = judge_.results.contains(it->first.first) ? now : now + (sick_ ? 1 : judge_.run_s(it->first.first));
+        task.fails = sick_;
         changed = true;
       }
       if (task.stage == "running" && now >= task.ends_at) {
-        End(it, sick_ ? "error" : "done");
+        End(it, task.fails ? "error" : "done");
         changed = true;
       }
     }
@@ -381,6 +400,7 @@
   size_t node_ = 0;
   std::map<Key, Task> tasks_;
   std::set<std::string> images_;
+  std::vector<Batch> batches_;
   std::vector<std::function<void()>> waiting_;
   net::Timer report_timer_, lease_timer_;
   std::mt19937 rng_;
@@ -402,6 +422,21 @@
   }
   std::string address() const { return AddressOf(*server_); }
   double latency_s = 0.05;
+  // The time in which a rented machine comes up; below 0: the start-up time of its type.
+  double boot_s = -1;
+  // Called with each machine that comes up.
+  std::function<void(Worker&)> on_up;
+  // Machines in the zone that haven't failed, and the requests to rent there since that moment.
+  size_t Count(const std::string& shore) const {
+    return static_cast<size_t>(std::count_if(machines_.begin(), machines_.end(), [&](const auto& m) {
+      return m.second.shore == shore && m.second.stage != "failed";
+    }));
+  }
+  int RentedSince(const std::string& shore, double since) const {
+    return static_cast<int>(std::count_if(requests_.begin(), requests_.end(), [&](const auto& r) {
+      return r.first >= since && r.second == shore;
+    }));
+  }
   // How many machines of the type, zone and kind there may be at once.
   std::function<int(const std::string& type, const std::string& shore, bool loaners)> capacity =
       [](const std::string&, const std::string&, bool) { return 4; };
@@ -414,6 +449,14 @@
     timer->After(startup_s, [this, timer, name = std::string(id)] { BringUp(name); });
     return id;
   }
+  // The cloud takes the machine back with no notice.
+  void TakeBack(const std::string& id) {
+    record_.Line("%s is taken", id.c_str());
+    machines_.erase(id);
+    workers_.at(id)->Die();
+    buried_.push_back(std::move(workers_.at(id)));
+    workers_.erase(id);
+  }
   // The machine stops with all that is on it.
   void Kill(const std::string& id) {
     record_.Line("%s dies", id.c_str());
@@ -438,6 +481,7 @@
     workers_[id] = std::make_unique<Worker>(io_, record_, judge_, nodes_, id, TypeOf(it->second.type), it->second.shore,
                                             it->second.loaners, timing_);
     it->second.endpoint = workers_[id]->endpoint();
+    if (on_up) on_up(*workers_[id]);
     record_.Line("%s is up (%s, %s, %s)", id.c_str(), it->second.type.c_str(), it->second.shore.c_str(),
                  it->second.loaners ? "loaner" : "ordinary");
   }
@@ -475,6 +519,7 @@
     const json body = json::parse(request.body);
     const std::string hire = body.at("hire");
     if (rented_.contains(hire)) return Answer(respond, 200, rented_[hire]);
+    requests_.emplace_back(net::Now(), body.at("shore").get<std::string>());
     json rigs = json::array();
     const std::string type = body.at("build"), shore = body.at("shore");
     const bool loaners = body.at("loaners");
@@ -483,7 +528,7 @@
         return m.second.type == type && m.second.shore == shore && m.second.loaners == loaners && m.second.stage != "failed";
       });
       if (present >= capacity(type, shore, loaners)) break;
-      rigs.push_back(AddMachine(type, shore, loaners, TypeOf(type).startup_s));
+      rigs.push_back(AddMachine(type, shore, loaners, boot_s < 0 ? TypeOf(type).startup_s : boot_s));
     }
     record_.Line("rent %s: %s -> %zu", hire.c_str(), request.body.c_str(), rigs.size());
     if (rigs.empty()) return Answer(respond, 503, {{"error", "no capacity"}});
@@ -502,6 +547,7 @@
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::vector<std::unique_ptr<Worker>> buried_;
   std::map<std::string, json> rented_;
+  std::vector<std::pair<double, std::string>> requests_;
   std::unique_ptr<net::HttpServer> server_;
 };
 
