review: a sound machine is kept from work after jobs with a mistake

Cause: MachineHealth::CountFailureAgainstMachine takes a machine out of use after three failed tasks of two jobs, and nothing takes that back when their users cancel these jobs, though other tasks run well on the machine.

Added: review/8; stand-in workers can fail the tasks of given jobs.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+folder=$(cd "$(dirname "$0")" && pwd)
+. "$folder/../common-2/run_case.sh"
--- a/review/common-2/machines.h
+++ b/review/common-2/machines.h
@@ -22,6 +22,7 @@
   Judge(Record& record, Timing timing) : record_(record), timing_(timing) {}
   std::map<std::string, json> jobs;               // by id: the descriptions that workers fetch
   std::function<double(const std::string& crate)> run_s = [](const std::string&) { return 5.0; };
+  std::function<bool(const std::string& crate)> fails = [](const std::string&) { return false; };
   std::set<std::string> results;                  // crates that have completed; kept for ever
   std::map<std::string, std::string> told;        // what a user was told last: accepted, done, aborted
   std::map<std::string, double> cancelled_at;     // when a user was told so
@@ -281,8 +282,8 @@
         images_.insert(task.image);
         task.stage = "running";
         judge_.OnStarted(id_, shore_, it->first.first);
-        task.ends_at = judge_.results.contains(it->first.first) ? now : now + (sick_ ? 1 : judge_.run_s(it->first.first));
-        task.fails = sick_;
+        task.ends_at = judge_.results.contains(it->first.first) ? now : now + (sick_ || judge_.fails(it->first.first) ? 1 : judge_.run_s(it->first.first));
+        task.fails = sick_ || judge_.fails(it->first.first);
         changed = true;
       }
       if (task.stage == "running" && now >= task.ends_at) {
