--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,12 +10,12 @@
   g++ $flags -c "$root/src/net/$source.cc" -o "$out/$source.o" &
 done
 for folder in "$root"/review/[45678]; do
-  [ -f "$folder/case.cc" ] || continue
-  g++ $flags -c "$folder/case.cc" -o "$out/case-$(basename "$folder").o" &
+  [ -f "$folder/driver.cc" ] || continue
+  g++ $flags -c "$folder/driver.cc" -o "$out/case-$(basename "$folder").o" &
 done
 wait
 for folder in "$root"/review/[45678]; do
-  [ -f "$folder/case.cc" ] || continue
+  [ -f "$folder/driver.cc" ] || continue
   n=$(basename "$folder")
   g++ "$out/case-$n.o" "$out/http_client.o" "$out/http_server.o" "$out/socket_budget.o" \
     -lhttp_parser -lpthread -o "$out/case-$n"
