Election: a renewed store lease makes a controller campaign again

Cause: Elector asks Leadership::NextStep on a change of the leader key, a load, a new store lease and the end of a campaign. While the store lease has lapsed by its own clock the step is 'nothing'. After an outage the store gives leases their full time again, so the renewal succeeds; nobody holds the leader key and watches stayed open, so no other event comes. The renewal did not ask.

The log had no line for a campaign; 'election: campaigned' is new.

Class: a decision depends on a state, and an event that changes the state doesn't make it again. Second way in, same cause: the lease lapses before the watch cache is loaded. Other duties read (records, completions, plans, requests, listings, submissions): timers ask again.

--- a/include/mosspath/election/leadership.h
+++ b/include/mosspath/election/leadership.h
@@ -124,6 +124,8 @@
     uint64_t version = kvstore::kKeyAbsent;
     double wait_s = 0;
   };
+  // The caller must call this again after every event: a change of the leader key, a load of the
+  // watch cache, a store lease that was granted or renewed, the end of a campaign.
   Step NextStep(double now);
   // While a campaign is in flight and its outcome has not been read, no other campaign begins.
   void SetCampaigning(bool under_way) { campaigning_ = under_way; }
--- a/src/election/elector.cc
+++ b/src/election/elector.cc
@@ -73,6 +73,10 @@
   }
   const double pause_s = derived_.store_lease_renew_s * (renewed ? 1 : kRenewRetryRatio);
   renew_timer_.After(sent + pause_s - net::Now(), [this] { RenewStoreLease(); });
+  // A controller whose store lease had lapsed by its own clock does not campaign. After an outage
+  // the renewal may be the only event that says that it may campaign again: open watches report no
+  // change, and nobody holds the leader key.
+  if (renewed) Evaluate();
 }
 
 void Elector::LogLapse() {
@@ -134,6 +138,7 @@
     // This controller reads from the watch cache whether the leader key was put, not from this
     // response. It begins no other campaign before the pause ends.
     const bool done = result.outcome == kvstore::Outcome::kDone;
+    spdlog::info("election: campaigned node={} committed={}", node_, done ? "yes" : "no");
     const double pause_s = done ? derived_.call_timeout_s : kFailedCampaignPauseS;
     campaign_timer_.After(pause_s, [this] {
       leadership_.SetCampaigning(false);
