Fair queue: removing the last items no longer walks on in a freed team

Cause: FairQueue::RemoveIf kept an iterator to the next team while OnRemoved cleared the map with the last item. An idle team whose turn is still to come stays in the map, so the next team could be a freed node.

It is reached only from JobSubmitter::ExpireOverdue, when the store doesn't answer for two seconds.

Fix: items are moved out first, idle teams are erased in one place afterwards, the callback comes last and may use the queue. Pop erases every idle team whose start tag is reached, not only its own; such a team gets the same start tag when it comes back.

Class: a walk calls something that erases more than the element at hand. The other eleven walks that keep the next iterator were read: each erases its own element only.

--- a/include/mosspath/admission/fair_queue.h
+++ b/include/mosspath/admission/fair_queue.h
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace mosspath::admission {
 
@@ -51,30 +53,25 @@
     // than kMaxClassesPerTeam classes.
     if (cls.items.empty() && t->second.classes.size() > kMaxClassesPerTeam)
       t->second.classes.erase(c);
-    OnRemoved(t, 1);
+    --t->second.size;
+    --size_;
+    EraseIdleTeams();
     return item;
   }
 
-  // Removes all items that satisfy `pred` and passes each to `take`.
+  // Removes all items that satisfy `pred`, then passes each to `take`, which may use the queue.
   template <typename Pred, typename Take>
   void RemoveIf(Pred pred, Take take) {
-    for (auto t = teams_.begin(); t != teams_.end();) {
-      const auto next = std::next(t);
-      size_t n = 0;
-      for (auto& [name, c] : t->second.classes) {
-        for (auto it = c.items.begin(); it != c.items.end();) {
-          if (!pred(*it)) {
-            ++it;
-            continue;
-          }
-          take(std::move(*it));
-          it = c.items.erase(it);
-          ++n;
-        }
+    std::vector<T> removed;
+    for (auto& [team_name, team] : teams_) {
+      for (auto& [class_name, c] : team.classes) {
+        const size_t count = MoveIf(pred, c.items, removed);
+        team.size -= count;
+        size_ -= count;
       }
-      OnRemoved(t, n);
-      t = next;
     }
+    EraseIdleTeams();
+    for (T& item : removed) take(std::move(item));
   }
 
  private:
@@ -106,14 +103,26 @@
     }
     return {t, c};
   }
-  // Removes an idle team once virtual time has reached its start tag. If the team were removed
-  // earlier, its start tag would be lost, and its next item would take a turn ahead of the other
-  // teams.
-  void OnRemoved(typename Teams::iterator t, size_t n) {
-    size_ -= n;
-    t->second.size -= n;
-    if (t->second.size == 0 && t->second.start_tag <= virtual_time_) teams_.erase(t);
-    if (size_ == 0) teams_.clear();
+  // Moves the items that satisfy `pred` to the end of `removed`, in their order. Returns their
+  // number.
+  template <typename Pred>
+  static size_t MoveIf(Pred& pred, std::deque<T>& items, std::vector<T>& removed) {
+    const auto first_removed = std::stable_partition(
+        items.begin(), items.end(), [&pred](const T& item) { return !pred(item); });
+    const auto count = static_cast<size_t>(items.end() - first_removed);
+    std::move(first_removed, items.end(), std::back_inserter(removed));
+    items.erase(first_removed, items.end());
+    return count;
+  }
+  // Erases each idle team once virtual time has reached its start tag, and all teams once the queue
+  // is empty. If an idle team were erased earlier, its start tag would be lost, and its next item
+  // would take a turn ahead of the other teams.
+  void EraseIdleTeams() {
+    if (size_ == 0) return teams_.clear();
+    std::erase_if(teams_, [this](const auto& entry) {
+      const Team& team = entry.second;
+      return team.size == 0 && team.start_tag <= virtual_time_;
+    });
   }
 
   Teams teams_;
