Submissions: the retry of a recorded job takes no budget of tasks

Cause: UserApi asked admission control, which counts an admitted job as in flight, before JobService returned early for a job that is over. Nothing gave the count back. The retry was also counted as demand.

Fix: JobService::Submit answers recorded jobs first, then asks admission control, then writes, so that one class takes the budget and gives it back.

--- a/include/mosspath/service/job_service.h
+++ b/include/mosspath/service/job_service.h
@@ -55,7 +55,11 @@
 
   // --- Requests of users ---
   void Lookup(const std::string& id, std::function<void(JobStatus)> done);
-  void Submit(const wire::JobSpec& spec, std::function<void(SubmitOutcome)> done);
+  // Submits the job unless it is recorded already. Returns the verdict of admission control, and
+  // calls `done` only if that admits the job. The tasks of an admitted job count as in flight until
+  // this controller has read the job's record or the submission has failed.
+  [[nodiscard]] admission::AdmissionVerdict Submit(const wire::JobSpec& spec,
+                                                   std::function<void(SubmitOutcome)> done);
   void Cancel(const std::string& id, std::function<void(JobStatus)> done);
   // The job has ended, and its final record is durable.
   void OnEnded(const std::string& id, JobStatus state) { index_.OnEnded(id, state); }
@@ -75,6 +79,8 @@
   uint64_t revision() const { return watch_cache_.revision(); }
 
  private:
+  // Writes the record of an admitted job.
+  void Write(const wire::JobSpec& spec, std::function<void(SubmitOutcome)> done);
   void TryCancel(const std::string& id, double deadline, std::function<void(JobStatus)> done);
 
   kvstore::Client& store_;
--- a/include/mosspath/service/user_api.h
+++ b/include/mosspath/service/user_api.h
@@ -24,11 +24,10 @@
   using Responder = net::HttpServer::Responder;
   using Counts = std::function<scheduler::JobCounts(const std::string& id)>;
 
-  UserApi(const config::Settings& settings, JobService& jobs, AdmissionService& admission,
+  UserApi(const config::Settings& settings, JobService& jobs,
           const kvstore::WatchCache& watch_cache, const MachineTypeCache& types, Counts counts)
       : settings_(settings),
         jobs_(jobs),
-        admission_(admission),
         watch_cache_(watch_cache),
         types_(types),
         counts_(std::move(counts)) {}
@@ -45,7 +44,6 @@
 
   const config::Settings& settings_;
   JobService& jobs_;
-  AdmissionService& admission_;
   const kvstore::WatchCache& watch_cache_;
   const MachineTypeCache& types_;
   const Counts counts_;
--- a/src/service/controller.cc
+++ b/src/service/controller.cc
@@ -52,7 +52,7 @@
                      [this](const Types& types) { OnMachineTypes(types); }),
       operator_settings_(store_, cache_, derived_, [this] { OnOperatorSettings(); }),
       record_formats_(settings_),
-      users_(settings_, jobs_, admission_, cache_, machine_types_,
+      users_(settings_, jobs_, cache_, machine_types_,
              [this](const std::string& job) { return CountsOf(job); }),
       frames_(io, settings_, sockets_, on_malformed_),
       shards_({.io = io,
--- a/src/service/job_service.cc
+++ b/src/service/job_service.cc
@@ -81,9 +81,20 @@
   });
 }
 
-void JobService::Submit(const wire::JobSpec& spec, std::function<void(SubmitOutcome)> done) {
-  // A retry of a recorded job needs no write.
-  if (index_.Contains(spec.id)) return done(SubmitOutcome::kAlreadyRecorded);
+admission::AdmissionVerdict JobService::Submit(const wire::JobSpec& spec,
+                                               std::function<void(SubmitOutcome)> done) {
+  // A retry of a recorded job needs no write and takes no budget. The retry of a job that has ended
+  // must not be counted as in flight: nothing would ever end that.
+  if (index_.Contains(spec.id)) {
+    done(SubmitOutcome::kAlreadyRecorded);
+    return {true, 0, {}};
+  }
+  admission::AdmissionVerdict verdict = admission_.Request(spec, net::Now());
+  if (verdict.admit) Write(spec, std::move(done));
+  return verdict;
+}
+
+void JobService::Write(const wire::JobSpec& spec, std::function<void(SubmitOutcome)> done) {
   // Another controller may have accepted the job just before, in a record under another key, with
   // which the write does not conflict. A read of the watch cache that begins now returns that
   // record. The read runs in parallel with the write and takes no longer.
--- a/src/service/user_api.cc
+++ b/src/service/user_api.cc
@@ -83,12 +83,7 @@
     return refuse(RetryLaterResponse("can't decide yet"));
   const std::string why = admission::ReasonNeverRunnable(spec, settings_.teams, types_.types());
   if (!why.empty()) return refuse(ErrorResponse(422, why));
-  if (const auto verdict = admission_.Request(spec, net::Now()); !verdict.admit) {
-    spdlog::debug("service: job_refused job={} retry_after_s={:.1f} reason={}", id,
-                  verdict.retry_after_s, verdict.reason);
-    return refuse(TooManyRequests(verdict.reason, verdict.retry_after_s));
-  }
-  jobs_.Submit(spec, [this, id, respond](JobService::SubmitOutcome accepted) {
+  const auto on_outcome = [this, id, respond](JobService::SubmitOutcome accepted) {
     switch (accepted) {
       case JobService::SubmitOutcome::kNew:
         return respond({201, wire::JobAnswer(id, wire::JobState::kQueued).dump()});
@@ -101,7 +96,12 @@
       case JobService::SubmitOutcome::kUndetermined:
         return respond(RetryLaterResponse("can't take it now"));
     }
-  });
+  };
+  if (const auto verdict = jobs_.Submit(spec, on_outcome); !verdict.admit) {
+    spdlog::debug("service: job_refused job={} retry_after_s={:.1f} reason={}", id,
+                  verdict.retry_after_s, verdict.reason);
+    refuse(TooManyRequests(verdict.reason, verdict.retry_after_s));
+  }
 }
 
 void UserApi::Get(const std::string& id, Responder respond) {
--- a/tests/job_service_test.cc
+++ b/tests/job_service_test.cc
@@ -156,5 +156,21 @@
   EXPECT_EQ(live, std::vector<std::string>{"req-1"});
 }
 
+// Guards against a service that refuses all jobs: each repeated submission of an ended job left the
+// job's tasks in flight for ever.
+TEST_F(JobServiceTest, RepeatedSubmissionsOfAnEndedJobTakeNoBudget) {
+  ASSERT_EQ(Cancel("req-1"), JobStatus::kCancelled);
+  RunUntil([&] { return admission_.controller().live() == 0; });
+  int answers = 0;
+  const auto on_outcome = [&](JobService::SubmitOutcome outcome) {
+    EXPECT_EQ(outcome, JobService::SubmitOutcome::kAlreadyRecorded);
+    ++answers;
+  };
+  for (int i = 0; i < 3; ++i) EXPECT_TRUE(jobs_.Submit(Spec("req-1"), on_outcome).admit);
+  EXPECT_EQ(answers, 3);
+  EXPECT_EQ(admission_.controller().in_flight(), 0);
+  EXPECT_EQ(admission_.Demand(net::Now()), 0);
+}
+
 }  // namespace
 }  // namespace mosspath::service
