Admission: a job that ended before its write was answered is released

Cause: an in-flight job whose record is older than the last load of the view, and which isn't in it, has ended. OnLoaded removed such jobs, but the answer of the write may arrive after the load; the job then stayed in flight until the next load.

Test: AdmissionControllerTest.AJobThatEndedUnseenBeforeItsWriteIsAnsweredIsReleased: 50 tasks in flight for 20 before, passes now.

--- a/include/mosspath/admission/admission_controller.h
+++ b/include/mosspath/admission/admission_controller.h
@@ -71,7 +71,8 @@
   // Decides on a request. `share`: this controller's share of the free budget. An admitted job is
   // in flight from now on.
   AdmissionVerdict Request(const wire::JobSpec& spec, double share, double now);
-  // Called when the record of the in-flight job was written at `revision`.
+  // Called when the record of the in-flight job was written at `revision`. The view may have been
+  // reloaded up to that revision already.
   void OnDurable(const std::string& id, uint64_t revision);
   // Called when the submission has failed, as far as this controller can tell. Removes the job
   // unless it is durable.
@@ -104,6 +105,10 @@
   // Adds tasks to the sums of the team and class; negative `tasks` subtracts.
   void AddTasks(const ClassKey& key, double tasks);
   void RemoveInFlight(const std::string& id);
+  // Removes an in-flight job whose record was written before the view was last loaded. The job is
+  // not in the view, so it has ended. No event reports that end, so the job would otherwise stay in
+  // flight forever.
+  void RemoveIfEndedUnseen(const std::string& id);
   double Weight(const std::string& name) const;
   // `excess_tasks`: by how many tasks the job exceeds the limit. The retry time is computed from
   // `excess_tasks`.
@@ -121,6 +126,7 @@
   std::unordered_map<std::string, Entry> in_flight_jobs_;
   double live_ = 0;
   double in_flight_ = 0;
+  uint64_t loaded_revision_ = 0;  // of the last OnLoaded
   // Tasks in the view and in flight.
   std::map<std::string, double> tasks_by_team_;
   std::map<ClassKey, double> tasks_by_class_;
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -107,15 +107,21 @@
 }
 
 void AdmissionController::OnLoaded(uint64_t revision) {
-  // An in-flight job that was durable at `revision` but is not in the view has ended. No event
-  // reports that end, so the job would stay in flight forever if it were not removed here.
+  loaded_revision_ = revision;
   for (auto it = in_flight_jobs_.begin(); it != in_flight_jobs_.end();) {
     const auto next = std::next(it);
-    if (it->second.revision != 0 && it->second.revision <= revision) RemoveInFlight(it->first);
+    RemoveIfEndedUnseen(it->first);
     it = next;
   }
 }
 
+void AdmissionController::RemoveIfEndedUnseen(const std::string& id) {
+  const auto it = in_flight_jobs_.find(id);
+  if (it == in_flight_jobs_.end()) return;
+  const uint64_t revision = it->second.revision;
+  if (revision != 0 && revision <= loaded_revision_) RemoveInFlight(id);
+}
+
 AdmissionVerdict AdmissionController::Refuse(const wire::JobSpec& spec, std::string reason,
                                              double excess_tasks, double now) const {
   const double window_s = kEndRateWindowRetries * max_retry_s_;
@@ -180,8 +186,10 @@
 }
 
 void AdmissionController::OnDurable(const std::string& id, uint64_t revision) {
-  if (const auto it = in_flight_jobs_.find(id); it != in_flight_jobs_.end())
-    it->second.revision = revision;
+  const auto it = in_flight_jobs_.find(id);
+  if (it == in_flight_jobs_.end()) return;
+  it->second.revision = revision;
+  RemoveIfEndedUnseen(id);
 }
 
 void AdmissionController::OnDropped(const std::string& id) {
--- a/tests/admission_controller_test.cc
+++ b/tests/admission_controller_test.cc
@@ -208,5 +208,19 @@
   EXPECT_EQ(controller.TasksOf("a"), 0);
 }
 
+// Guards against budget that is in use for ever: the answer of the write arrives after a reload
+// that was complete up to the write, and the job had ended before that.
+TEST(AdmissionControllerTest, AJobThatEndedUnseenBeforeItsWriteIsAnsweredIsReleased) {
+  AdmissionController controller(1000, {"a"}, 1, 10);
+  ASSERT_TRUE(controller.Request(Spec(1, "a", "x", 30), 0.5, 0).admit);
+  ASSERT_TRUE(controller.Request(Spec(2, "a", "x", 20), 0.5, 0).admit);
+  controller.Clear();
+  controller.OnLoaded(7);
+  controller.OnDurable("req-1", 7);
+  EXPECT_EQ(controller.in_flight(), 20);
+  controller.OnDurable("req-2", 8);
+  EXPECT_EQ(controller.in_flight(), 20);
+}
+
 }  // namespace
 }  // namespace mosspath::admission
