Autoscaler: tasks that must share a zone get their room in one zone

Cause: the demand of such a job names a zone only once a task of it is placed. Before, the plan summed the room of all zones, found enough and requested nothing, while placement needs the room in one zone.

Fix: the demand says that its tasks must share a zone (Demand::single_zone), and the plan chooses it: one with room for all, else one in which machines can be requested now; then the most room, then the fewest machines. Room and requests count in that zone only. Booting machines count as room, so the choice stays until they are up. Arrays and services are planned so too; they never waited for ever, since their first placed task fixes the zone, but machines were requested in zones that they can't use.

--- a/include/mosspath/autoscaler/free_capacity.h
+++ b/include/mosspath/autoscaler/free_capacity.h
@@ -21,6 +21,9 @@
   // The arguments outlive this object.
   FreeCapacity(const ScalingInput& input, const OfferCatalog& catalog);
 
+  // Returns how many of at most `tasks` tasks of the demand would get capacity on machines of the
+  // offer, which is one of the catalog.
+  double RoomFor(const Demand& demand, const PricedOffer& offer, double tasks) const;
   // Allots capacity on machines of the offer, which is one of the catalog, to at most `tasks` tasks
   // of the demand. Returns the number of tasks that got capacity. A fraction of a task takes the
   // capacity of a whole task.
--- a/include/mosspath/autoscaler/scale_out.h
+++ b/include/mosspath/autoscaler/scale_out.h
@@ -39,6 +39,13 @@
   // within the horizon. All waiting tasks of an urgent demand need a machine now. `offer`: the
   // cheapest offer that can serve the demand.
   double NeededTasks(const Demand& demand, const PricedOffer& offer) const;
+  // Plans for `needed_tasks` tasks of the demand.
+  void PlanDemand(const Demand& demand, double needed_tasks);
+  // Chooses the zone for a demand whose tasks must share one: a zone with room for all needed
+  // tasks, else a zone in which machines can be requested now; of several, the one with the most
+  // room, and then the one with the fewest machines. Room in other zones is of no use to the
+  // demand.
+  std::string ChooseSingleZone(const Demand& demand, double needed_tasks) const;
   // Allots free capacity to the demand. Returns the tasks that found none.
   double AllotFreeCapacity(const Demand& demand, double needed_tasks);
   // Requests machines for `missing_tasks` tasks of the demand, from the cheapest offers that are
--- a/include/mosspath/autoscaler/scaling_planner.h
+++ b/include/mosspath/autoscaler/scaling_planner.h
@@ -26,7 +26,9 @@
   bool spot_allowed = true;
   std::vector<std::string> types;  // empty: any type
   std::string zone;                // empty: any zone
-  double cpus = 0;                 // CPUs of one task
+  // All tasks must run in one zone, which is not chosen yet. Only if `zone` is empty.
+  bool single_zone = false;
+  double cpus = 0;  // CPUs of one task
   double gpus = 0;
   double memory_gb = 0;
   double waiting_tasks = 0;  // tasks that are not placed
--- a/src/autoscaler/free_capacity.cc
+++ b/src/autoscaler/free_capacity.cc
@@ -61,6 +61,18 @@
   });
 }
 
+double FreeCapacity::RoomFor(const Demand& demand, const PricedOffer& offer, double tasks) const {
+  const OfferRoom& room = rooms_[IndexOf(offer)];
+  const Resources task = demand.task();
+  if (room.machines.empty() || IsTooLarge(task, room)) return 0;
+  double fitting = 0;
+  for (const Room& candidate : room.machines) {
+    if (fitting >= tasks) break;
+    fitting += cluster::TasksThatFit(task, candidate.free);
+  }
+  return std::min(fitting, tasks);
+}
+
 double FreeCapacity::Allot(const Demand& demand, const PricedOffer& offer, double tasks) {
   OfferRoom& room = rooms_[IndexOf(offer)];
   const Resources task = demand.task();
--- a/src/autoscaler/scale_out.cc
+++ b/src/autoscaler/scale_out.cc
@@ -14,6 +14,16 @@
   std::ptrdiff_t offer_count = 0;  // offers that can serve the demand
 };
 
+// What a zone offers to a demand whose tasks must share one. The larger value is the better zone.
+struct ZoneRoom {
+  bool fits_all = false;  // all needed tasks have room
+  bool is_open = false;   // machines for the demand can be requested now
+  double tasks = 0;       // needed tasks that have room
+  int negated_machines = 0;
+
+  auto operator<=>(const ZoneRoom&) const = default;
+};
+
 }  // namespace
 
 ScaleOutPlanner::ScaleOutPlanner(const ScalingInput& input, const ScalingTuning& tuning,
@@ -30,11 +40,13 @@
     const PricedOffer* cheapest = catalog_.FindCheapest(*demand);
     if (cheapest == nullptr) continue;
     const double needed_tasks = NeededTasks(*demand, *cheapest);
-    const double missing_tasks = AllotFreeCapacity(*demand, needed_tasks);
-    summary_.waiting += demand->waiting_tasks;
-    summary_.needed += needed_tasks;
-    summary_.with_room += needed_tasks - missing_tasks;
-    RequestMachines(*demand, missing_tasks);
+    if (!demand->single_zone) {
+      PlanDemand(*demand, needed_tasks);
+      continue;
+    }
+    Demand in_zone = *demand;
+    in_zone.zone = ChooseSingleZone(*demand, needed_tasks);
+    PlanDemand(in_zone, needed_tasks);
   }
   ScaleOutPlan plan;
   for (const auto& [offer, count] : requested_) {
@@ -75,6 +87,33 @@
   return std::min(demand.waiting_tasks, std::max(1.0, demand.waiting_run_s / horizon_s));
 }
 
+void ScaleOutPlanner::PlanDemand(const Demand& demand, double needed_tasks) {
+  const double missing_tasks = AllotFreeCapacity(demand, needed_tasks);
+  summary_.waiting += demand.waiting_tasks;
+  summary_.needed += needed_tasks;
+  summary_.with_room += needed_tasks - missing_tasks;
+  RequestMachines(demand, missing_tasks);
+}
+
+std::string ScaleOutPlanner::ChooseSingleZone(const Demand& demand, double needed_tasks) const {
+  std::map<std::string, ZoneRoom> room_by_zone;
+  for (const PricedOffer& offer : catalog_.offers()) {
+    if (!Allows(demand, offer)) continue;
+    ZoneRoom& room = room_by_zone[offer.key.zone];
+    room.tasks += free_capacity_.RoomFor(demand, offer, needed_tasks - room.tasks);
+    room.is_open = room.is_open || IsOpenFor(demand, offer);
+  }
+  for (auto& [zone, room] : room_by_zone) {
+    room.fits_all = room.tasks >= needed_tasks - kTaskTolerance;
+    const auto machines = machines_by_zone_.find(zone);
+    room.negated_machines = machines == machines_by_zone_.end() ? 0 : -machines->second;
+  }
+  const auto best =
+      std::max_element(room_by_zone.begin(), room_by_zone.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  return best == room_by_zone.end() ? std::string() : best->first;
+}
+
 double ScaleOutPlanner::AllotFreeCapacity(const Demand& demand, double needed_tasks) {
   double missing_tasks = needed_tasks;
   for (const PricedOffer& offer : catalog_.offers()) {
--- a/src/scheduler/scaling_coordinator.cc
+++ b/src/scheduler/scaling_coordinator.cc
@@ -50,6 +50,7 @@
     for (const auto& [zone, tasks] : job.placed_by_zone) {
       if (tasks > 0) demand.zone = zone;
     }
+    demand.single_zone = demand.zone.empty();
   }
   return demand;
 }
--- a/tests/scaling_planner_test.cc
+++ b/tests/scaling_planner_test.cc
@@ -2,8 +2,10 @@
 #include "mosspath/autoscaler/scaling_planner.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 
 #include "scheduler_fixture.h"
@@ -11,7 +13,17 @@
 namespace mosspath::scheduler {
 namespace {
 
-using ScalingPlannerTest = SchedulerTest;
+class ScalingPlannerTest : public SchedulerTest {
+ protected:
+  // Adds a machine in the zone, with a durable record.
+  void AddMachineInZone(const std::string& id, const std::string& zone, double now) {
+    wire::Heartbeat heartbeat = NextHeartbeat(id, 1);
+    heartbeat.zone = zone;
+    scheduler_.OnHeartbeat(heartbeat, now);
+    scheduler_.Tick(now);
+    MakeRecordsDurable(scheduler_);
+  }
+};
 
 // Returns a machine of the type "box" that is up and takes tasks.
 autoscaler::FleetMachine SchedulableMachine(const std::string& id, const std::string& zone,
@@ -128,9 +140,10 @@
     input_.demand = {demand};
   }
 
-  void AddMachine(const cluster::Resources& used) {
+  void UseTwoZones() { input_.types[0].zones = {"a", "b"}; }
+  void AddMachine(const cluster::Resources& used, const std::string& zone = "a") {
     autoscaler::FleetMachine machine =
-        SchedulableMachine("vm-" + std::to_string(input_.machines.size()), "a", false);
+        SchedulableMachine("vm-" + std::to_string(input_.machines.size()), zone, false);
     machine.used_cpus = used.cpus;
     machine.used_gpus = used.gpus;
     machine.used_memory_gb = used.memory_gb;
@@ -188,6 +201,60 @@
   EXPECT_EQ(RequestedFor(2), 1);
 }
 
+// Guards against a gang that waits for ever: the room of all zones together counted for tasks that
+// must share a zone.
+TEST_F(WaitingTasksGetAMachineTest, WhenTheRoomForOneZoneIsDividedOverTwo) {
+  UseTwoZones();
+  input_.demand[0].single_zone = true;
+  AddMachine({});
+  AddMachine({}, "b");
+  EXPECT_EQ(RequestedFor(4), 0);
+  EXPECT_EQ(RequestedFor(8), 1);
+  EXPECT_EQ(RequestedFor(9), 2);
+}
+
+// Guards against a gang that waits for ever for the zone with the most room, which is sold out.
+TEST_F(WaitingTasksGetAMachineTest, InTheOtherZoneIfTheZoneWithMoreRoomIsSoldOut) {
+  UseTwoZones();
+  input_.demand[0].single_zone = true;
+  input_.demand[0].waiting_tasks = 8;
+  for (int i = 0; i < 2; ++i) AddMachine({.cpus = 16, .gpus = 1, .memory_gb = 64});
+  AddMachine({.cpus = 24, .gpus = 1, .memory_gb = 64}, "b");
+  input_.closed_until[{"box", "a", false}] = input_.now + 1;
+  const auto requests = autoscaler::PlanScaling(input_, {}).scale_out;
+  ASSERT_EQ(requests.size(), 1u);
+  EXPECT_EQ(requests[0].zone, "b");
+  EXPECT_EQ(requests[0].count, 2);
+}
+
+// With the requested machines some zone has room for all tasks that must share one, and nothing is
+// requested if a zone had that room before.
+RC_GTEST_FIXTURE_PROP(WaitingTasksGetAMachineTest, InOneZoneWhateverTheOthersHave, ()) {
+  constexpr int kTasksPerMachine = 4;
+  UseTwoZones();
+  input_.demand[0].single_zone = true;
+  std::map<std::string, int> room = {{"a", 0}, {"b", 0}};
+  const int machines = *rc::gen::inRange(0, 8);
+  for (int i = 0; i < machines; ++i) {
+    const int used = *rc::gen::inRange(0, kTasksPerMachine + 1);
+    const std::string zone = *rc::gen::element<std::string>("a", "b");
+    AddMachine({.cpus = 8.0 * used, .gpus = 1.0 * used, .memory_gb = 64.0 * used}, zone);
+    room[zone] += kTasksPerMachine - used;
+  }
+  const int waiting = *rc::gen::inRange(1, 20);
+  input_.demand[0].waiting_tasks = waiting;
+  const int most_room = std::max(room["a"], room["b"]);
+  const auto requests = autoscaler::PlanScaling(input_, {}).scale_out;
+  if (most_room >= waiting) {
+    RC_ASSERT(requests.empty());
+    return;
+  }
+  RC_ASSERT(requests.size() == 1u);
+  const int with_requested = room[requests[0].zone] + kTasksPerMachine * requests[0].count;
+  RC_ASSERT(with_requested >= waiting);
+  RC_ASSERT(with_requested - kTasksPerMachine < waiting);
+}
+
 // Guards against the return of the only free machine: CPUs beside used-up GPUs counted as reserve.
 TEST_F(WaitingTasksGetAMachineTest, TheReserveIsNotOnMachinesThatAreFullByGpus) {
   for (int i = 0; i < 3; ++i) AddMachine({.cpus = 16, .gpus = 4, .memory_gb = 128});
@@ -237,5 +304,23 @@
   }
 }
 
+// Guards against a gang that waits for ever (room in two zones together), with the leader's own
+// figures, until the requested machine has booted.
+TEST_F(ScalingPlannerTest, AGangForOneZoneGetsAMachineThere) {
+  for (const char* zone : {"a", "b"}) AddMachineInZone(zone, zone, 0);
+  wire::JobSpec gang = Job(1, 6, 1, wire::Priority::kNormal);
+  gang.kind = wire::JobKind::kGang;
+  gang.single_zone = true;
+  scheduler_.AddJob(gang, 11, 1);
+  scheduler_.Place(2);
+  EXPECT_EQ(scheduler_.Counts("req-1").running, 0u);
+  const auto requests = scheduler_.PlanScaling(3).scale_out;
+  ASSERT_EQ(requests.size(), 1u);
+  EXPECT_EQ(requests[0].count, 1);
+  AddMachineInZone("vm-new", requests[0].zone, 4);
+  scheduler_.Place(5);
+  EXPECT_EQ(scheduler_.Counts("req-1").running, 6u);
+}
+
 }  // namespace
 }  // namespace mosspath::scheduler
