Placement: a gang is placed on the machines of all shards and tiers together

Cause: a gang is placed whole, but its room was looked for first in its home shard, then in the other shards, then on cordoned machines, each alone. With its room divided between them it waited for ever, while the plan counted all of it and requested nothing. The choice of its zone counted machines in service and cordoned ones together, and machines that the reservation keeps from it.

Fix: each scope of a gang after its home shard has the room of the scopes before it too. The zone is chosen by the filters that placement uses.

That the reservation counts in the choice of the zone has no test.

--- a/include/mosspath/scheduler/machine_filter.h
+++ b/include/mosspath/scheduler/machine_filter.h
@@ -12,7 +12,7 @@
 
 // Machines in service are tried first. Cordoned machines are the last resort of jobs of high
 // priority and above.
-enum class MachineTier { kInService, kCordoned };
+enum class MachineTier { kInService, kCordoned, kInServiceOrCordoned };
 
 // Why a machine may not run a task of a job.
 enum class MachineRejection {
--- a/include/mosspath/scheduler/placement_attempt.h
+++ b/include/mosspath/scheduler/placement_attempt.h
@@ -34,10 +34,11 @@
   LocalityPolicy policy;  // for the score stage
 };
 
-// Selects the machines that are tried together: those of one tier, in the home shard or outside it.
-// Cordoned machines are tried regardless of shard.
+enum class ShardScope { kHomeShard, kOtherShards, kAllShards };
+
+// Selects the machines that are tried together: those of one tier, in some of the shards.
 struct PlacementScope {
-  bool in_home_shard = true;
+  ShardScope shards = ShardScope::kHomeShard;
   MachineTier tier = MachineTier::kInService;
 };
 
--- a/src/scheduler/machine_filter.cc
+++ b/src/scheduler/machine_filter.cc
@@ -6,8 +6,17 @@
 namespace {
 
 bool IsInTier(const cluster::Machine& machine, MachineTier tier) {
-  const bool cordoned = tier == MachineTier::kCordoned;
-  return machine.draining == cordoned && machine.cordoned == cordoned;
+  const bool in_service = !machine.draining && !machine.cordoned;
+  const bool cordoned = machine.draining && machine.cordoned;
+  switch (tier) {
+    case MachineTier::kInService:
+      return in_service;
+    case MachineTier::kCordoned:
+      return cordoned;
+    case MachineTier::kInServiceOrCordoned:
+      return in_service || cordoned;
+  }
+  return false;
 }
 
 }  // namespace
--- a/src/scheduler/placement_attempt.cc
+++ b/src/scheduler/placement_attempt.cc
@@ -1,6 +1,7 @@
 #include "mosspath/scheduler/placement_attempt.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 #include "mosspath/cluster/resources.h"
@@ -15,11 +16,24 @@
 
 namespace {
 
-constexpr PlacementScope kScopesInOrder[] = {
-    {.in_home_shard = true, .tier = MachineTier::kInService},
-    {.in_home_shard = false, .tier = MachineTier::kInService},
-    {.in_home_shard = false, .tier = MachineTier::kCordoned},
-};
+using PlacementScopes = std::array<PlacementScope, 3>;
+
+constexpr PlacementScopes kScopesInOrder = {{
+    {.shards = ShardScope::kHomeShard, .tier = MachineTier::kInService},
+    {.shards = ShardScope::kOtherShards, .tier = MachineTier::kInService},
+    {.shards = ShardScope::kAllShards, .tier = MachineTier::kCordoned},
+}};
+// A gang is placed whole, so each scope after its home shard has the room of the scopes before it
+// too. A gang would otherwise wait forever while its room is divided between scopes.
+constexpr PlacementScopes kGangScopesInOrder = {{
+    {.shards = ShardScope::kHomeShard, .tier = MachineTier::kInService},
+    {.shards = ShardScope::kAllShards, .tier = MachineTier::kInService},
+    {.shards = ShardScope::kAllShards, .tier = MachineTier::kInServiceOrCordoned},
+}};
+
+const PlacementScopes& ScopesInOrder(wire::JobKind kind) {
+  return kind == wire::JobKind::kGang ? kGangScopesInOrder : kScopesInOrder;
+}
 
 }  // namespace
 
@@ -36,8 +50,8 @@
   if (remaining_ == 0) return PlacementOutcome::kSettled;
   if (job_.spec.single_zone && !ChooseSingleZone()) return PlacementOutcome::kNoCapacity;
   if (!job_.home_shard) job_.home_shard = ChooseHomeShard();
-  for (const PlacementScope& scope : kScopesInOrder) {
-    if (scope.tier == MachineTier::kCordoned && !IsUrgent()) break;
+  for (const PlacementScope& scope : ScopesInOrder(job_.spec.kind)) {
+    if (scope.tier != MachineTier::kInService && !IsUrgent()) break;
     if (PlaceInScope(scope) == PlacementOutcome::kSettled) return PlacementOutcome::kSettled;
   }
   return PlacementOutcome::kNoCapacity;
@@ -94,9 +108,9 @@
   for (const Machine* machine : pool_) {
     // A job whose tasks must share a zone is not delegated to shard holders.
     if (machine->shard_lease != 0) continue;
-    const bool fits = FitsInTier(*machine, MachineTier::kInService) ||
-                      (IsUrgent() && FitsInTier(*machine, MachineTier::kCordoned));
-    if (!fits || !stages_.filter.IsAllowedOn(job_, *machine, now_)) continue;
+    const MachineTier tier =
+        IsUrgent() ? MachineTier::kInServiceOrCordoned : MachineTier::kInService;
+    if (stages_.filter.Check(job_, *machine, tier, now_)) continue;
     Room& room = room_by_zone[machine->zone];
     room.tasks += cluster::TasksThatFit(task, machine->free());
     room.cpus += machine->free().cpus;
@@ -124,8 +138,16 @@
 
 bool PlacementAttempt::IsInScope(const Machine& machine, const PlacementScope& scope) const {
   if (machine.shard_lease != 0 && !delegable_) return false;
-  if (scope.tier == MachineTier::kCordoned) return true;
-  return scope.in_home_shard == (machine.shard == *job_.home_shard);
+  const bool at_home = machine.shard == *job_.home_shard;
+  switch (scope.shards) {
+    case ShardScope::kHomeShard:
+      return at_home;
+    case ShardScope::kOtherShards:
+      return !at_home;
+    case ShardScope::kAllShards:
+      return true;
+  }
+  return false;
 }
 
 // Also sums the machines and layers of the whole scope, because the cap of layer locality and each
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -162,6 +162,49 @@
   EXPECT_EQ(scheduler_.Counts("req-3").running, 2u);
 }
 
+// Guards against a gang that waits for ever: its room was divided between its home shard and the
+// machines of another controller.
+TEST_F(PlacementTest, AGangStartsOnTheMachinesOfSeveralShards) {
+  settings_.name = "hut-0";
+  settings_.peers = {{"hut-1", "", "x:1"}, {"hut-2", "", "x:2"}};
+  Scheduler scheduler(settings_, derived_, 10, 0);
+  scheduler.SetMachineTypes({type_});
+  std::set<size_t> shards;
+  for (int i = 0; i < 6; ++i) {
+    const wire::Heartbeat heartbeat = NextHeartbeat("vm-" + std::to_string(i), 1);
+    scheduler.OnHeartbeat(heartbeat, 1);
+    shards.insert(scheduler.machines().at(heartbeat.machine).shard);
+  }
+  ASSERT_GT(shards.size(), 1u);
+  scheduler.Tick(1);
+  MakeRecordsDurable(scheduler);
+  auto gang = Job(1, 24, 1, wire::Priority::kNormal);  // all CPUs of the six machines
+  gang.kind = wire::JobKind::kGang;
+  gang.memory_gb = 0;
+  scheduler.AddJob(gang, 11, 1);
+  scheduler.Place(2);
+  EXPECT_EQ(scheduler.Counts("req-1").running, 24u);
+}
+
+// Guards against an urgent gang that waits for ever: its room was divided between machines in
+// service and cordoned ones.
+TEST_F(PlacementTest, AnUrgentGangStartsOnMachinesInServiceAndCordonedOnes) {
+  AddReadyMachine("vm-1", 0);
+  scheduler_.AddJob(Job(1, 1, 1, wire::Priority::kNormal), 11, 0);
+  const auto starts = Starts(SendHeartbeat("vm-1", 1));
+  ASSERT_EQ(starts.size(), 1u);
+  AddReadyMachine("vm-2", 1);
+  SendHeartbeat("vm-1", 1, {test::Running(starts[0])});
+  (void)scheduler_.PlanScaling(1);
+  ASSERT_FALSE(scheduler_.machines().at("vm-1").cordoned);
+  ASSERT_TRUE(scheduler_.machines().at("vm-2").cordoned);
+  auto gang = Job(2, 6, 1, wire::Priority::kHigh);
+  gang.kind = wire::JobKind::kGang;
+  scheduler_.AddJob(gang, 12, 2);
+  scheduler_.Place(2);
+  EXPECT_EQ(scheduler_.Counts("req-2").running, 6u);
+}
+
 TEST_F(PlacementTest, NoAttemptNumberIsUsedTwice) {
   AddReadyMachine("vm-1", 0);
   scheduler_.AddJob(Job(1, 1, 1, wire::Priority::kNormal), 11, 0);
