Commands: an unanswered batch to a machine that is forgotten has an outcome

Callers would see: a new leader that probes no machine any more, so that recovery waits for agent leases instead of answers.

Cause: CommandClient::Forget, and ClientFor when a machine is found at another address, closed the connection with its unanswered batch. The outcome was lost with it, and Failover counts a probe as in flight until it has one; 128 such probes and no other is sent.

Fix: a connection with an unanswered batch stays until the batch has ended. A batch to another address meanwhile is refused, which its sender retries. Each batch ends within a heartbeat interval or the time for a probe's answer.

Requests to rent, completions, record writes and submissions were read: each outcome gives back what was counted.

--- a/include/mosspath/service/command_client.h
+++ b/include/mosspath/service/command_client.h
@@ -26,8 +26,9 @@
 
   // Returns how many batches can be sent now.
   size_t Capacity() const;
-  // Returns the machine's connection, or null if the address is unusable. This object owns the
-  // connection; the pointer is valid until the next call of any function of this object.
+  // Returns the machine's connection, or null if the address is unusable or a batch to another
+  // address of the machine is unanswered. This object owns the connection; the pointer is valid
+  // until the next call of any function of this object.
   net::HttpClient* ClientFor(const std::string& machine, const std::string& address);
   // Receives the batch, its outcome and the heartbeat in the agent's answer. The heartbeat has
   // default values if there is no valid answer, and is null if the agent's address is unusable.
@@ -36,12 +37,14 @@
   // Sends the batch. `still_wanted` is evaluated right before the request is sent.
   void Send(scheduler::CommandBatch batch, double timeout_s, net::OnMalformed on_malformed,
             Done done, net::HttpClient::StillWanted still_wanted);
-  // Closes the connections to the machines for which `is_unused` returns true.
+  // Closes the connections to the machines for which `is_unused` returns true. A connection with an
+  // unanswered batch stays until the batch has ended: the caller counts batches in flight, and each
+  // must have an outcome.
   template <typename F>
   void Forget(F is_unused) {
     for (auto it = connections_.begin(); it != connections_.end();) {
       const auto next = std::next(it);
-      if (is_unused(it->machine)) Drop(it);
+      if (it->client->idle() && is_unused(it->machine)) Drop(it);
       it = next;
     }
   }
--- a/src/service/command_client.cc
+++ b/src/service/command_client.cc
@@ -25,6 +25,7 @@
       if (!it->client->connected()) MakeRoom();
       return it->client.get();
     }
+    if (!it->client->idle()) return nullptr;
     Drop(it);
   }
   MakeRoom();
