Autoscaler: the next retry of a crash-looping job is demand; a gang is retried whole

Cause: WaitingDemand left a crash-looping job out while the leader commanded any machine. And RunnableTasks let one task of such a job run, while a gang is placed whole, so a crash-looping gang was never tried again, whatever machines were up (found by reading).

Fix: what may run of the job after its pause is demand. A gang is retried whole; its first failure ends a retry, so that its pause grows. The machines that a leader keeps and recalls for its own work (shards) count such jobs too. While there is room nothing is rented.

--- a/include/mosspath/scheduler/quota_reservation.h
+++ b/include/mosspath/scheduler/quota_reservation.h
@@ -12,7 +12,7 @@
 namespace mosspath::scheduler {
 
 // Returns how many of the job's pending tasks may run at once, whatever its team's quota. A crash
-// looping job runs one task at a time.
+// looping job is retried one task at a time; a gang is retried whole, because it is placed whole.
 size_t RunnableTasks(const jobs::Job& job);
 
 // Not thread-safe.
--- a/src/scheduler/machine_handover.cc
+++ b/src/scheduler/machine_handover.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "mosspath/scheduler/quota_reservation.h"
+
 namespace mosspath::scheduler {
 
 using cluster::Allocation;
@@ -59,8 +61,11 @@
 double MachineHandover::CpusForLeaderOnlyWork() const {
   double cpus = 0;
   for (const auto& [id, job] : state_.cluster.jobs) {
-    if (job->crash_looping || state_.placer.IsDelegable(*job)) continue;
-    cpus += (job->spec.tasks - job->done) * job->spec.cpus;
+    if (state_.placer.IsDelegable(*job)) continue;
+    const double tasks = job->crash_looping
+                             ? job->placed() + static_cast<double>(RunnableTasks(*job))
+                             : job->spec.tasks - job->done;
+    cpus += tasks * job->spec.cpus;
   }
   return cpus;
 }
@@ -209,10 +214,11 @@
 MachineHandover::UnplacedWork MachineHandover::UnplacedLeaderOnlyWork(double now) const {
   UnplacedWork work;
   for (const auto& [id, job] : state_.cluster.jobs) {
-    if (job->pending.empty() || job->crash_looping || state_.placer.IsDelegable(*job)) continue;
+    const size_t runnable_tasks = RunnableTasks(*job);
+    if (runnable_tasks == 0 || state_.placer.IsDelegable(*job)) continue;
     if (now < job->not_before || !state_.placer.IsStartable(*job)) continue;
     if (!state_.placer.IsWithinQuota(*job)) continue;
-    work.cpus += static_cast<double>(job->pending.size()) * job->spec.cpus;
+    work.cpus += static_cast<double>(runnable_tasks) * job->spec.cpus;
     if (work.oldest_job == nullptr || job->submitted_at < work.oldest_job->submitted_at) {
       work.oldest_job = job.get();
     }
--- a/src/scheduler/machine_health.cc
+++ b/src/scheduler/machine_health.cc
@@ -78,9 +78,11 @@
     }
   }
   if (!job.crash_looping) return CountFailureAgainstMachine(machine, job);
-  // Once the tasks that are already placed have ended, the job is retried one task at a time, with
-  // exponential backoff.
-  if (job.placed() == 0) ++job.retries;
+  // Once the tasks that are already placed have ended, the job is retried with exponential backoff:
+  // a gang whole, other jobs one task at a time. The first failure of a retry ends the retry. The
+  // other members of a gang are still placed then.
+  const bool is_gang = job.spec.kind == wire::JobKind::kGang;
+  if (is_gang ? now >= job.not_before : job.placed() == 0) ++job.retries;
   job.not_before = now + agent_lease_s_ * std::min(kMaxRetryPauseLeases,
                                                    std::pow(kRetryPauseGrowth, job.retries));
   return verdict;
--- a/src/scheduler/quota_reservation.cc
+++ b/src/scheduler/quota_reservation.cc
@@ -8,7 +8,9 @@
 
 size_t RunnableTasks(const Job& job) {
   if (!job.crash_looping) return job.pending.size();
-  return std::min<size_t>(job.pending.size(), job.placed() == 0 ? 1 : 0);
+  if (job.placed() > 0) return 0;
+  const bool is_gang = job.spec.kind == wire::JobKind::kGang;
+  return is_gang ? job.pending.size() : std::min<size_t>(job.pending.size(), 1);
 }
 
 void QuotaReservation::Refresh(const std::vector<Job*>& waiting_jobs) {
--- a/src/scheduler/scaling_coordinator.cc
+++ b/src/scheduler/scaling_coordinator.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "mosspath/scheduler/quota_reservation.h"
 #include "mosspath/scheduler/run_time_estimate.h"
 
 namespace mosspath::scheduler {
@@ -96,11 +97,9 @@
 std::vector<Demand> ScalingCoordinator::WaitingDemand(double now) const {
   std::vector<Demand> demand;
   for (const auto& [id, job] : state_.cluster.jobs) {
-    if (job->pending.empty() || now < job->not_before) continue;
-    // A crash looping job is retried on the present machines. Machines are added for the job only
-    // if this controller commands no machine.
-    if (job->crash_looping && !state_.cluster.machines.empty()) continue;
-    AppendJobDemand(*job, demand);
+    // Includes the next retry of a crash looping job. Its tasks may have failed because of machines
+    // that are gone since, and no present machine may be one on which the job may run.
+    if (now >= job->not_before && RunnableTasks(*job) > 0) AppendJobDemand(*job, demand);
   }
   return demand;
 }
@@ -109,7 +108,7 @@
   const wire::JobSpec& spec = job.spec;
   const double expected_run_s = ExpectedRunS(job);
   Demand task = DescribeTask(job);
-  auto waiting = job.crash_looping ? 1 : static_cast<uint32_t>(job.pending.size());
+  auto waiting = static_cast<uint32_t>(RunnableTasks(job));
   if (!spec.spread_over_zones || spec.zone) {
     AppendDemand(std::move(task), waiting, expected_run_s, demand);
     return;
