Preemption: stops free what is lacking, on one machine where it can be used

Cause: Preemption stopped tasks until their CPUs, summed over machines, came to what the job needed. GPUs, memory, zones, whole gangs and what was free already did not count; the freed room went to the task that had been stopped. Class: room by sums that placement can't use.

Fix: VictimSelection looks for room for one waiting task at a time, on one machine, by all resources: what is free or being freed, then the stops that lose the least. A gang gets room for all its tasks or nothing is stopped; constraints on zones are kept; tasks on draining machines are left alone. PreemptionTargets finds machines and victims once a pass; who may preempt, and stops at a team's limit, are as before.

--- a/include/mosspath/jobs/job.h
+++ b/include/mosspath/jobs/job.h
@@ -40,8 +40,8 @@
   double timed_run_s = 0;                          // total run time of the job's timed tasks
   uint32_t timed_tasks = 0;
   uint32_t consecutive_failures = 0;  // failures since the last success
-  // If true, the job's tasks seem to fail on every machine, so one task is tried at a time.
-  // `retries` counts these tries.
+  // If true, the job's tasks seem to fail on every machine, so one task, or a whole gang, is tried
+  // at a time. `retries` counts these tries.
   bool crash_looping = false;
   uint32_t retries = 0;
   double not_before = 0;              // no task is placed before this time
--- a/include/mosspath/scheduler/machine_filter.h
+++ b/include/mosspath/scheduler/machine_filter.h
@@ -45,12 +45,18 @@
   bool IsAllowedOn(const jobs::Job& job, const cluster::Machine& machine, double now) const {
     return !CheckConstraints(job, machine, now);
   }
+  // Returns whether the reservation leaves the machine's free capacity to the job.
+  bool MayTakeUnreserved(const jobs::Job& job, const cluster::Machine& machine) const {
+    return reservation_.MayTake(job.spec, machine);
+  }
 
  private:
   const config::Settings& settings_;
   const CapacityReservation& reservation_;
 };
 
+// Returns whether the machine is of the tier.
+bool IsInTier(const cluster::Machine& machine, MachineTier tier);
 // Returns whether the machine is of the tier and has free capacity for one task.
 bool FitsInTier(const wire::JobSpec& spec, const cluster::Machine& machine, MachineTier tier);
 
--- a/include/mosspath/scheduler/preemption.h
+++ b/include/mosspath/scheduler/preemption.h
@@ -2,8 +2,8 @@
 // argument.
 #pragma once
 
+#include <array>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,14 +12,16 @@
 #include "mosspath/jobs/job.h"
 #include "mosspath/scheduler/fair_share.h"
 #include "mosspath/scheduler/machine_filter.h"
+#include "mosspath/scheduler/preemption_targets.h"
 #include "mosspath/scheduler/service_level_objectives.h"
 #include "mosspath/scheduler/start_gate.h"
+#include "mosspath/scheduler/unplaceable_specs.h"
 
 namespace mosspath::scheduler {
 
-// Frees capacity for waiting jobs by stopping tasks of lower priority, beginning with those that
-// lose the least work. Only jobs of high priority and above preempt. If the quota of the team is
-// what a job of critical priority lacks, tasks of the same team are stopped.
+// Makes room for waiting jobs by stopping tasks of lower priority, beginning with those that lose
+// the least work. Only jobs of high priority and above preempt. If the quota of the team is what a
+// job of critical priority lacks, tasks of the same team are stopped.
 class Preemption {
  public:
   // The arguments outlive this object.
@@ -32,37 +34,33 @@
   void Run(const std::vector<jobs::Job*>& ranked_jobs, double now);
 
  private:
-  // A running task that may be stopped.
-  struct Victim {
-    double weighted_loss = 0;  // CPU seconds of work lost, weighted by priority
-    cluster::Machine* machine = nullptr;
-    cluster::Allocation* allocation = nullptr;
-    const jobs::Job* job = nullptr;
+  using QuotaByTeam = std::map<std::string, cluster::QuotaAmount>;
+  // What a pass knows of the machines and of the stops that are under way.
+  struct Pass {
+    PreemptionTargets targets;
+    double now = 0;
+    // What stopping tasks will free of the quota of their teams, less what jobs that were
+    // considered earlier in the pass take of it.
+    QuotaByTeam stopping_by_team;
+    // Specs of high and of critical jobs for which stops could not make room.
+    std::array<UnplaceableSpecs, 2> unplaceable{};
   };
 
-  // What will be freed by stops already requested.
-  struct StoppingTasks {
-    double cpus = 0;
-    std::map<std::string, cluster::QuotaAmount> by_team;
-  };
-
-  StoppingTasks FindStoppingTasks() const;
+  Pass BeginPass(const std::vector<jobs::Job*>& ranked_jobs, double now) const;
+  QuotaByTeam FindStoppingQuota() const;
+  // Returns whether the team's quota is too small for the waiting tasks of the job, which is of
+  // critical priority.
+  bool IsCriticalAndLacksQuota(const jobs::Job& job) const;
+  // Returns whether the job may have tasks stopped now.
+  bool MayPreempt(const jobs::Job& job, double now) const;
   // Returns for how many seconds after the job's submission no task is stopped for the job.
   double PreemptionDelayS(const jobs::Job& job, double now) const;
-  // Returns all tasks that may be stopped, the least loss first.
-  std::vector<Victim> CollectVictims(double now);
-  // Returns whether the victim may be stopped for the job, whatever its machine.
-  bool MayStopFor(const jobs::Job& job, const Victim& victim, double now) const;
-  // Stops victims until they free `missing_cpus` that the job may use, or no eligible victim is
-  // left.
-  void FreeCpusFor(const jobs::Job& job, double missing_cpus, std::vector<Victim>& victims,
-                   double now);
+  // Stops victims that make room for the job's waiting tasks.
+  void MakeRoomFor(const jobs::Job& job, Pass& pass);
   // Stops victims of the job's team until they free the part of the quota that the job lacks, or no
-  // eligible victim is left. `stopping` is what the team's stopping tasks free, less what earlier
-  // jobs of the team take of it.
-  void FreeQuotaFor(const jobs::Job& job, cluster::QuotaAmount& stopping,
-                    std::vector<Victim>& victims, double now);
-  void StopVictim(const Victim& victim, const jobs::Job& job);
+  // eligible victim is left.
+  void FreeQuotaFor(const jobs::Job& job, Pass& pass);
+  void RequestStop(const Victim& victim, const jobs::Job& job) const;
 
   const config::Settings& settings_;
   cluster::ClusterState& cluster_;
--- a/src/scheduler/machine_filter.cc
+++ b/src/scheduler/machine_filter.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 namespace mosspath::scheduler {
-namespace {
 
 bool IsInTier(const cluster::Machine& machine, MachineTier tier) {
   const bool in_service = !machine.draining && !machine.cordoned;
@@ -19,8 +18,6 @@
   return false;
 }
 
-}  // namespace
-
 bool FitsInTier(const wire::JobSpec& spec, const cluster::Machine& machine, MachineTier tier) {
   return IsInTier(machine, tier) && machine.Fits(spec);
 }
--- a/src/scheduler/preemption.cc
+++ b/src/scheduler/preemption.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <optional>
 
+#include "mosspath/scheduler/victim_selection.h"
+
 namespace mosspath::scheduler {
 
 using cluster::Allocation;
@@ -13,38 +15,28 @@
 
 namespace {
 
-// A task without checkpoints may be preempted only while it has run for at most this share of its
-// expected run time. The limit does not apply to preemption for a job of critical priority.
-constexpr double kMaxLossShare = 0.12;
 // If the start objective of a job ends within one heartbeat interval of its submission, the job may
 // preempt once it has waited for this share of the time limit.
 constexpr double kStartDelayShare = 0.3;
-// Work that is lost with a task that started too recently to have saved much in checkpoints
-// (IsSettling), in checkpoint durations.
-constexpr double kSettlingLossCheckpoints = 2;
-// Weight that each level of priority adds to a loss. Of two tasks with equal losses, the task of
-// lower priority is therefore stopped first.
-constexpr double kLossWeightPerPriority = 2;
-
-double RunTimeS(const Allocation& allocation, double now) {
-  return allocation.running_since > 0 ? now - allocation.running_since : 0;
-}
-
-bool IsStoppable(const Allocation& allocation) {
-  return !allocation.orphaned && !allocation.stop_requested && !allocation.exited() &&
-         allocation.state == Allocation::State::kReported;
-}
-
-// Returns the seconds of work that the task loses if it is stopped now.
-double LossS(const Job& job, double ran_s) {
-  if (job.spec.checkpoint_interval_s <= 0) return ran_s;
-  if (IsSettling(job, ran_s)) return kSettlingLossCheckpoints * job.spec.checkpoint_duration_s;
-  return std::min(ran_s, job.spec.checkpoint_duration_s);
-}
-
-double WeightedLoss(const Job& job, const Allocation& allocation, double now) {
-  const double weight = 1 + kLossWeightPerPriority * static_cast<int>(job.spec.priority);
-  return LossS(job, RunTimeS(allocation, now)) * allocation.cpus * weight;
+struct VictimOnTarget {
+  PreemptionTarget* target = nullptr;
+  Victim* victim = nullptr;
+};
+
+// Returns the victims of the team, the least loss first.
+std::vector<VictimOnTarget> VictimsOfTeam(const std::string& team, PreemptionTargets& targets) {
+  targets.FindVictims();
+  std::vector<VictimOnTarget> victims;
+  for (PreemptionTarget& target : targets.all()) {
+    for (Victim& victim : target.victims) {
+      if (victim.allocation->team == team) victims.push_back({&target, &victim});
+    }
+  }
+  std::stable_sort(victims.begin(), victims.end(),
+                   [](const VictimOnTarget& a, const VictimOnTarget& b) {
+                     return a.victim->weighted_loss < b.victim->weighted_loss;
+                   });
+  return victims;
 }
 
 bool LacksQuota(const QuotaAmount& missing) { return missing.cpus > 0 || missing.gpus > 0; }
@@ -69,34 +61,35 @@
       fair_share_(fair_share) {}
 
 void Preemption::Run(const std::vector<Job*>& ranked_jobs, double now) {
-  StoppingTasks stopping = FindStoppingTasks();
-  std::optional<std::vector<Victim>> victims;
-  const auto collected_victims = [&]() -> std::vector<Victim>& {
-    if (!victims) victims = CollectVictims(now);
-    return *victims;
-  };
+  std::optional<Pass> pass;
   for (const Job* job : ranked_jobs) {
-    if (job->spec.priority < wire::Priority::kHigh) continue;
-    if (now - job->submitted_at < PreemptionDelayS(*job, now)) continue;
-    const bool is_critical = job->spec.priority == wire::Priority::kCritical;
-    if (is_critical && LacksQuota(start_gate_.QuotaExcess(*job))) {
-      FreeQuotaFor(*job, stopping.by_team[job->spec.team], collected_victims(), now);
-    }
-    const double needed_cpus =
-        static_cast<double>(start_gate_.PlaceableTasks(*job)) * job->spec.cpus;
-    const double missing_cpus = LessCovered(needed_cpus, stopping.cpus);
-    if (missing_cpus > 0) FreeCpusFor(*job, missing_cpus, collected_victims(), now);
+    if (!MayPreempt(*job, now)) continue;
+    if (!pass) pass.emplace(BeginPass(ranked_jobs, now));
+    if (IsCriticalAndLacksQuota(*job)) FreeQuotaFor(*job, *pass);
+    MakeRoomFor(*job, *pass);
   }
 }
 
-Preemption::StoppingTasks Preemption::FindStoppingTasks() const {
-  StoppingTasks stopping;
+Preemption::Pass Preemption::BeginPass(const std::vector<Job*>& ranked_jobs, double now) const {
+  Pass pass{.targets = PreemptionTargets(cluster_, now), .now = now, .stopping_by_team = {}};
+  const bool any_lacks_quota =
+      std::any_of(ranked_jobs.begin(), ranked_jobs.end(),
+                  [this](const Job* job) { return IsCriticalAndLacksQuota(*job); });
+  if (any_lacks_quota) pass.stopping_by_team = FindStoppingQuota();
+  return pass;
+}
+
+bool Preemption::IsCriticalAndLacksQuota(const Job& job) const {
+  return job.spec.priority == wire::Priority::kCritical && LacksQuota(start_gate_.QuotaExcess(job));
+}
+
+Preemption::QuotaByTeam Preemption::FindStoppingQuota() const {
+  QuotaByTeam stopping;
   for (const auto& [id, machine] : cluster_.machines) {
     if (!machine.has_pending_commands) continue;
     for (const auto& [key, allocation] : machine.allocations) {
-      if (!allocation.stop_requested || allocation.exited()) continue;
-      stopping.cpus += allocation.cpus;
-      cluster::QuotaAmount& team = stopping.by_team[allocation.team];
+      if (!IsStopping(allocation)) continue;
+      QuotaAmount& team = stopping[allocation.team];
       team.cpus += allocation.cpus;
       team.gpus += allocation.gpus;
     }
@@ -104,6 +97,11 @@
   return stopping;
 }
 
+bool Preemption::MayPreempt(const Job& job, double now) const {
+  return job.spec.priority >= wire::Priority::kHigh &&
+         now - job.submitted_at >= PreemptionDelayS(job, now);
+}
+
 // Tasks end all the time even when all machines are full. Within one heartbeat interval, most
 // waiting tasks get capacity that was freed by tasks that ended; a task that was stopped for these
 // waiting tasks would lose its work for nothing. The delay is therefore one heartbeat interval. It
@@ -116,68 +114,40 @@
   return starts_soon ? kStartDelayShare * start_within_s : settings_.heartbeat_s;
 }
 
-std::vector<Preemption::Victim> Preemption::CollectVictims(double now) {
-  std::vector<Victim> victims;
-  for (auto& [id, machine] : cluster_.machines) {
-    if (!cluster_.IsSchedulable(machine, now)) continue;
-    for (auto& [key, allocation] : machine.allocations) {
-      if (!IsStoppable(allocation)) continue;
-      const Job* job = cluster_.FindJob(key.first.job);
-      // Stopping one task of a gang stops the whole gang.
-      if (job == nullptr || job->spec.kind == wire::JobKind::kGang) continue;
-      victims.push_back({WeightedLoss(*job, allocation, now), &machine, &allocation, job});
-    }
-  }
-  std::stable_sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
-    return a.weighted_loss < b.weighted_loss;
-  });
-  return victims;
-}
-
-bool Preemption::MayStopFor(const Job& job, const Victim& victim, double now) const {
-  if (victim.allocation->stop_requested) return false;
-  const wire::JobSpec& victim_spec = victim.job->spec;
-  if (victim_spec.priority >= job.spec.priority) return false;
-  // A task whose stop would put its group below the fair-share floor would be placed again at once.
-  if (!fair_share_.MayPreempt(*victim.job, victim.allocation->cpus)) return false;
-  // A task without checkpoints loses all its work. It is stopped only while that work is little,
-  // unless the waiting job is of critical priority.
-  const bool loses_all = victim_spec.checkpoint_interval_s <= 0;
-  if (!loses_all || job.spec.priority == wire::Priority::kCritical) return true;
-  return RunTimeS(*victim.allocation, now) <= kMaxLossShare * ExpectedRunS(*victim.job);
-}
-
-void Preemption::FreeCpusFor(const Job& job, double missing_cpus, std::vector<Victim>& victims,
-                             double now) {
-  for (const Victim& victim : victims) {
-    if (missing_cpus <= 0) return;
-    if (!MayStopFor(job, victim, now)) continue;
-    if (!filter_.IsAllowedOn(job, *victim.machine, now)) continue;
-    StopVictim(victim, job);
-    missing_cpus -= victim.allocation->cpus;
-  }
+void Preemption::MakeRoomFor(const Job& job, Pass& pass) {
+  const bool is_critical = job.spec.priority == wire::Priority::kCritical;
+  UnplaceableSpecs& unplaceable = pass.unplaceable[is_critical ? 1 : 0];
+  const size_t tasks = start_gate_.PlaceableTasks(job);
+  if (tasks == 0 || unplaceable.Covers(job.spec)) return;
+  VictimSelection selection(pass.targets, filter_, fair_share_, job, pass.now);
+  const VictimSelection::Result result = selection.MakeRoom(tasks);
+  if (result.tasks < tasks) unplaceable.Add(job);
+  for (const Victim* victim : result.victims) RequestStop(*victim, job);
 }
 
-void Preemption::FreeQuotaFor(const Job& job, QuotaAmount& stopping, std::vector<Victim>& victims,
-                              double now) {
+void Preemption::FreeQuotaFor(const Job& job, Pass& pass) {
+  QuotaAmount& stopping = pass.stopping_by_team[job.spec.team];
   QuotaAmount missing = start_gate_.QuotaExcess(job);
   missing.cpus = LessCovered(missing.cpus, stopping.cpus);
   missing.gpus = LessCovered(missing.gpus, stopping.gpus);
-  for (const Victim& victim : victims) {
+  for (const VictimOnTarget& candidate : VictimsOfTeam(job.spec.team, pass.targets)) {
     if (!LacksQuota(missing)) return;
+    Victim& victim = *candidate.victim;
     const Allocation& allocation = *victim.allocation;
     const bool helps =
         (missing.cpus > 0 && allocation.cpus > 0) || (missing.gpus > 0 && allocation.gpus > 0);
-    if (!helps || allocation.team != job.spec.team || !MayStopFor(job, victim, now)) continue;
-    StopVictim(victim, job);
+    if (!helps || !MayStopFor(job, victim, fair_share_)) continue;
+    candidate.target->SetSelected(victim, true);
+    pass.unplaceable = {};
+    fair_share_.OnPreempted(*victim.job, allocation.cpus);
+    RequestStop(victim, job);
     missing.cpus -= allocation.cpus;
     missing.gpus -= allocation.gpus;
   }
 }
 
-void Preemption::StopVictim(const Victim& victim, const Job& job) {
+void Preemption::RequestStop(const Victim& victim, const Job& job) const {
   cluster::RequestStop(*victim.machine, *victim.allocation, victim.job->spec.checkpoint_duration_s);
-  fair_share_.OnPreempted(*victim.job, victim.allocation->cpus);
   spdlog::debug("scheduler: preempting job={} machine={} for_job={}", victim.job->spec.id,
                 victim.machine->id, job.spec.id);
 }
--- a/tests/preemption_test.cc
+++ b/tests/preemption_test.cc
@@ -1,6 +1,9 @@
 // Tests of the preemption of tasks of lower priority.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstddef>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -45,6 +48,127 @@
   EXPECT_EQ(batches[0].commands[0].type, wire::CommandType::kStop);
 }
 
+// The machines vm-1 in zone "a" and vm-2 in zone "b", each with 4 CPUs, 2 GPUs and 16 GB, are full
+// of tasks of a low-priority job, which use one CPU and 1 GB each.
+class PreemptionRoomTest : public PreemptionTest {
+ protected:
+  PreemptionRoomTest() {
+    type_.gpus = 2;
+    scheduler_.SetMachineTypes({type_});
+    Exchange(0);
+    scheduler_.Tick(0);
+    MakeRecordsDurable(scheduler_);
+    auto low = Job(1, 8, 1, wire::Priority::kLow);
+    low.estimated_run_s = 900;
+    Run(low, 1);
+  }
+  // Adds the job, and starts as many of its tasks as there is room for.
+  void Run(const wire::JobSpec& spec, double now) {
+    scheduler_.AddJob(spec, 11, now);
+    scheduler_.Place(now);
+    Exchange(now);
+    Exchange(now + 0.5);
+  }
+  // Adds the job, which finds no room, and returns the machines on which tasks are then stopped,
+  // once for each task.
+  std::vector<std::string> StopsFor(const wire::JobSpec& spec) {
+    scheduler_.AddJob(spec, 12, 3);
+    Exchange(5);
+    scheduler_.Tick(6);
+    return Exchange(6);
+  }
+  // Delivers a heartbeat of each machine and starts the tasks that the answers command. Returns the
+  // machine of each task that is to be stopped.
+  std::vector<std::string> Exchange(double now) {
+    std::vector<std::string> stops;
+    for (auto& [id, tasks] : running_) {
+      wire::Heartbeat heartbeat = NextHeartbeat(id, 1);
+      heartbeat.address = id + ":1";
+      heartbeat.zone = id == "vm-1" ? "a" : "b";
+      heartbeat.tasks = tasks;
+      const HeartbeatAnswer answer = scheduler_.OnHeartbeat(heartbeat, now);
+      for (const auto& start : Starts(answer)) tasks.push_back(test::Running(start));
+      stops.insert(stops.end(), Stops(answer).size(), id);
+    }
+    return stops;
+  }
+
+  // Returns the number of tasks for which a stop is requested.
+  ptrdiff_t StoppingTasks() const {
+    ptrdiff_t stopping = 0;
+    for (const auto& [id, machine] : scheduler_.machines()) {
+      stopping += std::count_if(machine.allocations.begin(), machine.allocations.end(),
+                                [](const auto& entry) { return entry.second.stop_requested; });
+    }
+    return stopping;
+  }
+
+  std::map<std::string, std::vector<wire::TaskStatus>> running_ = {{"vm-1", {}}, {"vm-2", {}}};
+};
+
+// Guards against tasks that were started and stopped several times a second: CPUs were freed for a
+// job that lacked GPUs.
+TEST_F(PreemptionRoomTest, NothingIsStoppedForGpusThatNoStopFrees) {
+  ASSERT_EQ(running_["vm-1"].size() + running_["vm-2"].size(), 8u);
+  auto service = Job(2, 1, 1, wire::Priority::kCritical);
+  service.kind = wire::JobKind::kService;
+  service.gpus = 4;
+  EXPECT_TRUE(StopsFor(service).empty());
+}
+
+// Guards against stops that free enough CPUs, but too little memory, or that free it in pieces on
+// several machines.
+TEST_F(PreemptionRoomTest, TheStopsMakeRoomOnOneMachineByAllResources) {
+  auto large = Job(2, 1, 1, wire::Priority::kHigh);
+  large.memory_gb = 16;
+  const auto stops = StopsFor(large);
+  ASSERT_EQ(stops.size(), 4u);
+  EXPECT_EQ(stops.front(), stops.back());
+}
+
+TEST_F(PreemptionRoomTest, NothingIsStoppedForAGangThatStillWouldNotFit) {
+  auto gang = Job(2, 3, 4, wire::Priority::kHigh);
+  gang.kind = wire::JobKind::kGang;
+  EXPECT_TRUE(StopsFor(gang).empty());
+}
+
+TEST_F(PreemptionRoomTest, StopsForAGangOfOneZoneAreInOneZone) {
+  auto gang = Job(2, 2, 2, wire::Priority::kHigh);
+  gang.kind = wire::JobKind::kGang;
+  gang.single_zone = true;
+  const auto stops = StopsFor(gang);
+  ASSERT_EQ(stops.size(), 4u);
+  EXPECT_EQ(stops.front(), stops.back());
+}
+
+TEST_F(PreemptionRoomTest, NothingIsStoppedForAGangOfOneZoneThatNeedsBoth) {
+  auto gang = Job(2, 2, 4, wire::Priority::kHigh);
+  gang.kind = wire::JobKind::kGang;
+  gang.single_zone = true;
+  EXPECT_TRUE(StopsFor(gang).empty());
+}
+
+// Guards against stops in a zone that already has as many of the job's tasks as it may have.
+TEST_F(PreemptionRoomTest, StopsForAJobSpreadOverZonesAreInBothZones) {
+  auto service = Job(2, 2, 2, wire::Priority::kHigh);
+  service.kind = wire::JobKind::kService;
+  service.spread_over_zones = true;
+  const auto stops = StopsFor(service);
+  EXPECT_EQ(std::count(stops.begin(), stops.end(), "vm-1"), 2);
+  EXPECT_EQ(std::count(stops.begin(), stops.end(), "vm-2"), 2);
+}
+
+// Room that earlier stops will free is claimed for the job for which they were requested.
+TEST_F(PreemptionRoomTest, NothingMoreIsStoppedWhileStopsAreUnderWay) {
+  EXPECT_EQ(StopsFor(Job(2, 1, 3, wire::Priority::kHigh)).size(), 3u);
+  scheduler_.Tick(6.5);
+  EXPECT_LE(Exchange(6.5).size(), 3u);
+  EXPECT_EQ(StoppingTasks(), 3);
+  scheduler_.AddJob(Job(3, 1, 3, wire::Priority::kHigh), 13, 3);
+  scheduler_.Tick(7);
+  EXPECT_EQ(StoppingTasks(), 6);
+}
+
 // The team "t" has a limit of 4 CPUs, which the tasks of a low-priority job on vm-1 take up. The
 // machine vm-2 is idle.
 class TeamLimitTest : public PreemptionTest {
