Migration: a task with a constraint on zones moves within its zone

Callers would see: a task of a job whose tasks must share a zone is stopped for room in another zone, and waits for a machine in its own.

Fix: MigrationTargets takes only machines of the same zone for jobs that must share a zone or spread over zones.

Tests: SingleZoneMigrationTest.NothingIsStoppedForMachinesInAnotherZone fails without the guard, passes now; .TasksMoveWithinTheirZone passes.

--- a/include/mosspath/scheduler/migration_targets.h
+++ b/include/mosspath/scheduler/migration_targets.h
@@ -30,9 +30,9 @@
     cluster::Resources task;
   };
 
-  // Returns the index of the first target with capacity for a task of the job, or the number of
-  // targets if there is none.
-  size_t FindTarget(const jobs::Job& job) const;
+  // Returns the index of the first target with capacity for a task of the job that runs on
+  // `source`, or the number of targets if there is none.
+  size_t FindTarget(const jobs::Job& job, const cluster::Machine& source) const;
 
   const SchedulerState& state_;
   const double now_;
--- a/src/scheduler/migration_targets.cc
+++ b/src/scheduler/migration_targets.cc
@@ -1,6 +1,7 @@
 #include "mosspath/scheduler/migration_targets.h"
 
 #include <algorithm>
+#include <string>
 
 namespace mosspath::scheduler {
 
@@ -18,6 +19,13 @@
   return cluster::Fits(needed, at_least_zero);
 }
 
+// Returns whether a task of the job that runs in the zone `from` may run in the zone `to`. The
+// other tasks of a job with a constraint on zones stay where they are, so placement may refuse
+// another zone.
+bool MayChangeZone(const Job& job, const std::string& from, const std::string& to) {
+  return from == to || (!job.spec.single_zone && !job.spec.spread_over_zones);
+}
+
 }  // namespace
 
 MigrationTargets::MigrationTargets(const SchedulerState& state, double now)
@@ -40,7 +48,7 @@
   for (const auto& [key, allocation] : source.allocations) {
     if (allocation.exited()) continue;
     const Job& job = *state_.cluster.FindJob(key.first.job);
-    const size_t target = FindTarget(job);
+    const size_t target = FindTarget(job, source);
     all_fit = target < targets_.size();
     if (!all_fit) break;
     const Resources task = cluster::TaskResources(job.spec);
@@ -55,10 +63,11 @@
   return false;
 }
 
-size_t MigrationTargets::FindTarget(const Job& job) const {
+size_t MigrationTargets::FindTarget(const Job& job, const Machine& source) const {
   const Resources task = cluster::TaskResources(job.spec);
   const auto found = std::find_if(targets_.begin(), targets_.end(), [&](const Target& target) {
     return cluster::Fits(task, target.free) &&
+           MayChangeZone(job, source.zone, target.machine->zone) &&
            state_.placer.IsAllowedOn(job, *target.machine, now_);
   });
   return static_cast<size_t>(found - targets_.begin());
--- a/tests/task_migration_test.cc
+++ b/tests/task_migration_test.cc
@@ -14,7 +14,7 @@
 // each with 3 free CPUs, are to replace it.
 class TaskMigrationTest : public SchedulerTest {
  protected:
-  TaskMigrationTest() {
+  explicit TaskMigrationTest(bool single_zone = false) : single_zone_(single_zone) {
     type_.spot_price = 0.3;
     scheduler_.SetMachineTypes({type_});
     config::OperatorSettings operator_settings;
@@ -38,6 +38,7 @@
   void StartTasks(int number, uint32_t tasks, double memory_gb) {
     wire::JobSpec spec = Job(number, tasks, 1, wire::Priority::kNormal);
     spec.spot_allowed = true;
+    spec.single_zone = single_zone_;
     spec.memory_gb = memory_gb;
     spec.estimated_run_s = 1000;
     spec.checkpoint_interval_s = 5;
@@ -55,6 +56,7 @@
     wire::Heartbeat heartbeat = NextHeartbeat(id, 1);
     heartbeat.address = id + ":1";
     heartbeat.spot = id != "vm-1";
+    if (heartbeat.spot) heartbeat.zone = spot_zone_;
     heartbeat.tasks = running_[id];
     scheduler_.Place(now);
     return scheduler_.OnHeartbeat(heartbeat, now);
@@ -73,6 +75,8 @@
 
   static constexpr double kSpotAddedAt = 1;
   static constexpr double kPlanAt = 100;
+  const bool single_zone_;
+  std::string spot_zone_ = "a";
   std::map<std::string, std::vector<wire::TaskStatus>> running_;
 };
 
@@ -90,5 +94,24 @@
   EXPECT_EQ(StopsAfterPlan(), 2u);
 }
 
+// The tasks of each job must run in one zone.
+class SingleZoneMigrationTest : public TaskMigrationTest {
+ protected:
+  SingleZoneMigrationTest() : TaskMigrationTest(/*single_zone=*/true) {}
+};
+
+// Guards against a task that is stopped for room in a zone in which its job may not run: the task
+// then waits for a machine in its zone.
+TEST_F(SingleZoneMigrationTest, NothingIsStoppedForMachinesInAnotherZone) {
+  spot_zone_ = "b";
+  AddSpotMachines(/*used_gb=*/9);
+  EXPECT_EQ(StopsAfterPlan(), 0u);
+}
+
+TEST_F(SingleZoneMigrationTest, TasksMoveWithinTheirZone) {
+  AddSpotMachines(/*used_gb=*/9);
+  EXPECT_EQ(StopsAfterPlan(), 2u);
+}
+
 }  // namespace
 }  // namespace mosspath::scheduler
