Simulation: requests that were carried out arrive once more

It covers direct commands and probes, heartbeats, transactions, reads, grants, renewals and revocations of store leases, deletions, submissions, cancellations, promises, peer heartbeats and shard frames. Nobody waits for the answer to a copy. A copy travels on the connection of the original, so it can't reach a later incarnation of the machine. Copies excuse no delay: they don't move the end of the faults. A run in which no start was repeated fails.

--- a/simulation/availability.cc
+++ b/simulation/availability.cc
@@ -152,7 +152,9 @@
           {"done", static_cast<double>(world.rule_checker.done_jobs())},
           {"cancelled_start_s", world.rule_checker.latest_cancelled_start_s()},
           {"latest_begin_s", world.rule_checker.latest_begin_s()},
-          {"longest_unanswered_s", world.rule_checker.longest_unanswered_s()}};
+          {"longest_unanswered_s", world.rule_checker.longest_unanswered_s()},
+          {"repeated_requests", static_cast<double>(world.observed.repeated_requests)},
+          {"repeated_starts", static_cast<double>(world.observed.repeated_starts)}};
 }
 
 }  // namespace mosspath::simulation
--- a/simulation/controller.h
+++ b/simulation/controller.h
@@ -227,6 +227,7 @@
   using OnOutcome = std::function<void(scheduler::CommandOutcome, const wire::Heartbeat*)>;
   OnOutcome MakeOutcomeHandler(const scheduler::CommandBatch& batch, uint64_t shard_lease);
   // Runs at the machine.
+  void RepeatBatchLater(SimulatedAgent& agent, const scheduler::CommandBatch& batch);
   void DeliverBatch(SimulatedAgent& agent, const scheduler::CommandBatch& batch, double sent_at,
                     const OnOutcome& on_outcome);
   void WriteCompletions();
@@ -321,6 +322,9 @@
   environment_.network.Send(name_, kStoreHost, [this, process = process_, at_store, on_result] {
     if (!environment_.store.up()) return;
     Result result = at_store();
+    environment_.RepeatLater([this, at_store] {
+      if (environment_.store.up()) at_store();
+    });
     environment_.network.Send(kStoreHost, name_, [this, process, on_result, result] {
       if (!IsProcess(process)) return;
       RunUnlessFrozen([on_result, result] { on_result(result); });
--- a/simulation/controller_commands.cc
+++ b/simulation/controller_commands.cc
@@ -127,6 +127,7 @@
   const double now = environment_.clock.now();
   environment_.observed.late_commands += now - sent_at > kLateCommandS ? 1 : 0;
   const int http_status = agent.OnCommands(batch.fencing_token, batch.agent_epoch, batch.commands);
+  if (http_status == 200) RepeatBatchLater(agent, batch);
   const wire::Heartbeat answer = agent.MakeHeartbeat();
   const auto outcome = http_status == 200 ? scheduler::CommandOutcome::kExecuted
                                           : scheduler::CommandOutcome::kRefused;
@@ -144,6 +145,20 @@
       delay_s, [this, &agent, arrive] { environment_.network.Send(agent.id(), name_, arrive); });
 }
 
+// The copy arrives on the connection of the original, so it can't reach a later incarnation of the
+// machine.
+void SimulatedController::RepeatBatchLater(SimulatedAgent& agent,
+                                           const scheduler::CommandBatch& batch) {
+  environment_.RepeatLater([this, &agent, incarnation = agent.incarnation(), batch] {
+    if (!agent.alive() || agent.incarnation() != incarnation) return;
+    environment_.observed.repeated_starts += CountStarts(batch.commands) > 0 ? 1 : 0;
+    agent.RunUnlessHung([&agent, incarnation, batch] {
+      if (!agent.alive() || agent.incarnation() != incarnation) return;
+      agent.OnCommands(batch.fencing_token, batch.agent_epoch, batch.commands);
+    });
+  });
+}
+
 // ---------------------------------------------------------------------------- records
 
 void SimulatedController::WriteCompletions() {
@@ -247,6 +262,7 @@
   scheduler_->OnMachineDeleting(id);
   environment_.network.Send(name_, kCloudHost, [this, id, process = process_] {
     environment_.DeleteMachine(id);
+    environment_.RepeatLater([this, id] { environment_.DeleteMachine(id); });
     environment_.network.Send(kCloudHost, name_, [this, id, process, token = token()] {
       if (process != process_) return;
       RunUnlessFrozen([this, id, token] {
--- a/simulation/controller_election.cc
+++ b/simulation/controller_election.cc
@@ -26,6 +26,8 @@
                                          const std::string& request) {
   environment_.network.Send(name_, peer, [this, process = process_, round, peer, request] {
     const auto response = environment_.on_promise_request[peer](request);
+    environment_.RepeatLater(
+        [this, peer, request] { environment_.on_promise_request[peer](request); });
     if (!response) return;
     environment_.network.Send(peer, name_, [this, process, round, peer, text = *response] {
       if (process != process_) return;
--- a/simulation/controller_peers.cc
+++ b/simulation/controller_peers.cc
@@ -31,6 +31,7 @@
   environment_.network.Send(name_, peer, [this, peer, text, sent_at, process = process_] {
     if (!environment_.on_peer_heartbeat.contains(peer)) return;
     const auto answer = environment_.on_peer_heartbeat[peer](text);
+    environment_.RepeatLater([this, peer, text] { environment_.on_peer_heartbeat[peer](text); });
     if (!answer) return;
     environment_.network.Send(peer, name_, [this, answer, sent_at, process] {
       // A restarted process must ignore answers to requests of the previous process.
--- a/simulation/controller_shards.cc
+++ b/simulation/controller_shards.cc
@@ -203,6 +203,7 @@
   After(kFrameTimeoutS, [finish] { finish(std::nullopt); });
   environment_.network.Send(name_, peer, [this, peer, text = wire::Encode(frame), finish] {
     const auto answer = environment_.on_shard_frame[peer](text);
+    environment_.RepeatLater([this, peer, text] { environment_.on_shard_frame[peer](text); });
     environment_.network.Send(peer, name_, [this, answer, finish] {
       RunUnlessFrozen([answer, finish] { finish(answer); });
     });
--- a/simulation/faults.cc
+++ b/simulation/faults.cc
@@ -271,6 +271,10 @@
   cluster.world.duplicate_heartbeats_until = cluster.world.clock.now() + fault.duration_s;
 }
 
+void RepeatRequests(SimulatedCluster& cluster, const Fault& fault) {
+  cluster.world.repeated_requests_until = cluster.world.clock.now() + fault.duration_s;
+}
+
 void DelayAnswers(SimulatedCluster& cluster, const Fault& fault) {
   cluster.world.delayed_answers_until = cluster.world.clock.now() + fault.duration_s;
 }
@@ -354,6 +358,9 @@
   return fault.at + fault.duration_s + kMaxWriteDelayS;
 }
 
+// Repeated requests must harm nobody, so they excuse no delay.
+double AtOnce(const Fault& fault, const config::Settings&) { return fault.at; }
+
 double AfterBriefContact(const Fault& fault, const config::Settings& settings) {
   return fault.at + 2 * fault.duration_s + MaxContactS(settings);
 }
@@ -409,6 +416,7 @@
     {Kind::kCancelAtEnd, "cancel-at-end", NotifyUsers},
     {Kind::kUnusualRequests, "unusual-requests", NotifyUsers},
     {Kind::kBriefContact, "brief-contact", BriefContact, AfterBriefContact},
+    {Kind::kRepeatRequests, "repeat-requests", RepeatRequests, AtOnce},
 };
 
 constexpr bool TableMatchesEnumOrder() {
--- a/simulation/faults.h
+++ b/simulation/faults.h
@@ -58,6 +58,7 @@
     // One-way: some machines receive no messages, then the answer to one heartbeat, and then again
     // no messages for the same time.
     kBriefContact,
+    kRepeatRequests,  // requests that were carried out arrive once more, up to three leases later
     kKinds
   };
 
--- a/simulation/main.cc
+++ b/simulation/main.cc
@@ -41,6 +41,7 @@
   unsigned jobs = std::max(1U, std::thread::hardware_concurrency());
   std::string csv;
   bool lease_shards = false;
+  bool repeat_requests = false;
   bool decisions = false;
   bool log = false;
 };
@@ -51,9 +52,23 @@
   std::function<Outcome(uint64_t seed, const std::vector<Fault>& faults)> run;
 };
 
+// From this time on, for the rest of the day, requests are repeated if the options say so.
+constexpr double kRepeatsFromS = 5;
+constexpr double kDayS = 3600;
+
+std::vector<Fault> WithRepeatedRequests(std::vector<Fault> faults) {
+  faults.push_back(
+      {.kind = Fault::Kind::kRepeatRequests, .at = kRepeatsFromS, .duration_s = kDayS});
+  SortByTime(faults);
+  return faults;
+}
+
 template <typename Day>
 Scenario ScenarioOf(const Options& options) {
-  return {[](uint64_t seed) { return Day::Faults(seed); },
+  return {[repeat_requests = options.repeat_requests](uint64_t seed) {
+            std::vector<Fault> faults = Day::Faults(seed);
+            return repeat_requests ? WithRepeatedRequests(std::move(faults)) : faults;
+          },
           [lease_shards = options.lease_shards](uint64_t seed, const std::vector<Fault>& faults) {
             return Day(seed, faults, lease_shards).Run();
           }};
@@ -178,6 +193,13 @@
   return all_occurred;
 }
 
+// Returns whether a start was repeated on any of the days.
+bool AnyStartRepeated(const std::vector<Outcome>& outcomes) {
+  return std::any_of(outcomes.begin(), outcomes.end(), [](const Outcome& outcome) {
+    return FigureOf(outcome, "repeated_starts") > 0;
+  });
+}
+
 void AddOptions(CLI::App& scenario, Options& options) {
   scenario.add_option("--seeds", options.seeds, "number of days to simulate")
       ->check(CLI::Range(1, kMaxSeeds));
@@ -208,6 +230,10 @@
   for (auto* scenario : {overload, availability, compound, brief_contact}) {
     AddOptions(*scenario, options);
   }
+  for (auto* scenario : {availability, compound, brief_contact}) {
+    scenario->add_flag("--repeats", options.repeat_requests,
+                       "repeat requests that were carried out, throughout each day");
+  }
   CLI11_PARSE(app, argc, argv);
   const Scenario scenario = availability->parsed()    ? ScenarioOf<AvailabilityScenario>(options)
                             : compound->parsed()      ? ScenarioOf<CompoundFaultScenario>(options)
@@ -224,5 +250,6 @@
   PrintSummary(outcomes, broken);
   const bool has_compound_faults = compound->parsed() || brief_contact->parsed();
   const bool all_occurred = !has_compound_faults || PrintCompoundFaults(outcomes);
-  return broken == 0 && all_occurred ? 0 : 1;
+  const bool repeated = !options.repeat_requests || AnyStartRepeated(outcomes);
+  return broken == 0 && all_occurred && repeated ? 0 : 1;
 }
--- a/simulation/simulated_agent.cc
+++ b/simulation/simulated_agent.cc
@@ -90,7 +90,9 @@
                                  environment_.nodes[controller_index_]};
   awaiting_answer_ = true;
   last_heartbeat_at_ = now;
-  if (now < environment_.duplicate_heartbeats_until) SendDuplicateLater(heartbeat);
+  const bool duplicated =
+      now < environment_.duplicate_heartbeats_until || now < environment_.repeated_requests_until;
+  if (duplicated) SendDuplicateLater(heartbeat);
   environment_.clock.After(kAnswerTimeoutS, [this, attempt] {
     if (awaiting_answer_ && IsCurrent(attempt)) TryNextController();
   });
--- a/simulation/simulated_environment.cc
+++ b/simulation/simulated_environment.cc
@@ -1,6 +1,7 @@
 #include "simulation/simulated_environment.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "mosspath/jobs/job_index.h"
@@ -13,6 +14,10 @@
 // Bounds of a machine's boot time, as multiples of the boot time of the machine's type.
 constexpr double kMinBootFactor = 0.6;
 constexpr double kMaxBootFactor = 1.5;
+// Upper bounds of the delays of repeated requests.
+constexpr double kMaxPromptRepeatS = 0.5;
+constexpr double kMaxLateRepeatS = 15;
+constexpr double kMaxRepeatDelayLeases = 3;
 
 }  // namespace
 
@@ -26,6 +31,18 @@
       store(clock, decisions),
       rule_checker(settings, types) {}
 
+void SimulatedEnvironment::RepeatLater(std::function<void()> carry_out) {
+  if (clock.now() >= repeated_requests_until) return;
+  // A third of the copies arrives at once, a third within seconds, and a third within leases.
+  const double max_delays_s[] = {kMaxPromptRepeatS, kMaxLateRepeatS,
+                                 kMaxRepeatDelayLeases * settings.agent_lease_s};
+  const double max_delay_s = max_delays_s[random.Below(std::size(max_delays_s))];
+  clock.After(random.Uniform(0, max_delay_s), [this, carry_out = std::move(carry_out)] {
+    ++observed.repeated_requests;
+    carry_out();
+  });
+}
+
 std::string SimulatedEnvironment::ZoneOf(const std::string& node) const {
   const auto it = std::find(nodes.begin(), nodes.end(), node);
   return settings.zones[static_cast<size_t>(it - nodes.begin()) % settings.zones.size()];
--- a/simulation/simulated_environment.h
+++ b/simulation/simulated_environment.h
@@ -84,6 +84,13 @@
   double late_writes_share = 0;
   // Until this time, answers to direct commands are delayed by seconds.
   double delayed_answers_until = 0;
+  // Until this time, each request that was carried out arrives once more, at once or up to three
+  // agent leases later. Nobody waits for the answer to the repeated request.
+  double repeated_requests_until = 0;
+
+  // Carries out a copy of a request later, if requests are repeated now. Called when the request
+  // has been carried out.
+  void RepeatLater(std::function<void()> carry_out);
 
   // --- Observations, with which a scenario checks that its fault condition occurred ---
 
@@ -91,6 +98,8 @@
     size_t late_writes = 0;          // store changes applied late
     size_t outdated_duplicates = 0;  // duplicates of heartbeats with an earlier epoch or token
     size_t late_commands = 0;        // command batches that arrived seconds after they were sent
+    size_t repeated_requests = 0;    // requests that were carried out and arrived once more
+    size_t repeated_starts = 0;      // of these, direct commands with starts
     // Command batches that were executed by machines whose heartbeats were lost.
     size_t outbound_cut_commands = 0;
     // Machines that ran tasks when they were cut off again after a brief contact.
--- a/simulation/users.cc
+++ b/simulation/users.cc
@@ -65,6 +65,8 @@
   };
   world_.network.Send(kUsersHost, controller->name(), [this, user, controller, on_answer] {
     controller->OnSubmit(users_[user].spec, on_answer);
+    world_.RepeatLater(
+        [this, user, controller] { controller->OnSubmit(users_[user].spec, [](int, double) {}); });
   });
 }
 
@@ -168,6 +170,9 @@
   };
   world_.network.Send(kUsersHost, controller->name(), [this, user, controller, on_answer] {
     controller->OnCancel(users_[user].spec.id, on_answer);
+    world_.RepeatLater([this, user, controller] {
+      controller->OnCancel(users_[user].spec.id, [](int, wire::JobState) {});
+    });
   });
 }
 
