Commands: a forgotten attempt is started again by no late copy

Cause: a start that is sent straight to an agent may arrive once more after it was carried out and answered. While the agent has the attempt the copy does nothing, but after the forget command the agent starts the attempt again, since token and agent epoch are still those of the command. Rule 4 raised the token of a machine only for starts without an answer. The class: a check in one path and not in another.

Fix: the answer that holds a forget command has a token above that of every direct command with the attempt's start (docs/design.md, 4a). The agent takes both together, so it refuses each copy from the moment at which it has forgotten the attempt. The token is the revision of a write that the leader has made anyway; a write is asked for only if there was none since the start, one for all machines. Heartbeats under the earlier token stay evidence (Machine::min_heartbeat_token), so no machine loses its direct starts meanwhile. A holder of a shard takes the revision that it has read. An agent that keeps 256 attempts takes no new tasks.

The state of the heartbeat model has the new field.

--- a/include/mosspath/cluster/machine.h
+++ b/include/mosspath/cluster/machine.h
@@ -24,8 +24,10 @@
   // heartbeat tells whether the agent has executed the start.
   uint64_t start_sent_sequence = 0;
   uint64_t start_sent_token = 0;
-  bool start_sent_directly = false;  // the start was sent to the agent, not in a heartbeat's answer
-  double start_sent_at = 0;          // set only for a start sent directly
+  // The start was sent to the agent, not in a heartbeat's answer, or this controller does not know
+  // how the attempt was started. A copy of the start may reach the agent at any later time.
+  bool start_sent_directly = false;
+  double start_sent_at = 0;  // set only for a start sent directly
   // A start sent directly got no answer. The agent may still execute the start until it has
   // received a higher token.
   bool start_unconfirmed = false;
@@ -54,6 +56,11 @@
   std::string image;
 
   bool exited() const { return state == State::kReported && reported == wire::TaskState::kExited; }
+  // Returns whether an agent that receives a forget command under `token` executes no copy of the
+  // attempt's start afterwards. Answers to heartbeats have no late copies.
+  bool CanBeForgottenUnder(uint64_t token) const {
+    return !start_sent_directly || token > start_sent_token;
+  }
 };
 
 // The value of Allocation::start_sent_sequence while no heartbeat can tell whether the agent has
@@ -106,9 +113,11 @@
   size_t shard = 0;
   uint64_t agent_epoch = 0;
   uint64_t heartbeat_sequence = 0;
-  uint64_t min_agent_epoch = 0;    // heartbeats of earlier agent epochs are ignored
-  uint64_t fencing_token = 0;      // the token of the commands to this machine
-  bool token_confirmed = false;    // the agent has sent a heartbeat under `fencing_token`
+  uint64_t min_agent_epoch = 0;  // heartbeats of earlier agent epochs are ignored
+  uint64_t fencing_token = 0;    // the token of the commands to this machine
+  // Heartbeats under a lower token are no evidence of the machine's state. At most `fencing_token`.
+  uint64_t min_heartbeat_token = 0;
+  bool token_confirmed = false;    // the agent has sent a heartbeat under `min_heartbeat_token`
   bool command_in_flight = false;  // a direct command batch to the agent is unanswered
   bool awaits_recovery = false;    // the tasks on a machine taken over are not determined yet
   // The agent's address according to the record, and the state of probes to that address.
@@ -169,7 +178,9 @@
   bool in_record = false;               // the machine has a record, which may not be durable yet
   bool record_durable = false;          // the machine's record is durable
   bool has_unconfirmed_starts = false;  // a direct start got no answer
-  bool has_pending_commands = false;    // starts or stops may still have to be sent to the agent
+  bool awaits_newer_token = false;      // an exited attempt can be forgotten only under a new token
+  size_t kept_attempts = 0;  // exited attempts that the agent keeps after the last answer to it
+  bool has_pending_commands = false;  // starts or stops may still have to be sent to the agent
 
   // Resources and image fetch rate of the machine's type.
   double cpus = 0, gpus = 0, memory_gb = 0, cache_gb = 0, fetch_gb_per_s = 0;
@@ -180,6 +191,17 @@
   double TokenUnconfirmedFor(double now) const {
     return token_unconfirmed_since > 0 ? now - token_unconfirmed_since : 0;
   }
+  // Sets a token below which no heartbeat is evidence of the machine's state.
+  void RequireToken(uint64_t token) {
+    fencing_token = min_heartbeat_token = token;
+    token_confirmed = false;
+  }
+  // Returns whether a heartbeat under the token is evidence of the machine's state.
+  bool IsCurrentToken(uint64_t token) const {
+    return token >= min_heartbeat_token && token <= fencing_token;
+  }
+  // The agent has shown the token in a heartbeat that is evidence of the machine's state.
+  void ConfirmToken(uint64_t token) { min_heartbeat_token = token; }
   // Whether a heartbeat with this epoch and sequence is newer than the last one.
   bool IsNewer(uint64_t epoch, uint64_t sequence) const {
     return epoch >= min_agent_epoch &&
--- a/include/mosspath/scheduler/command_planner.h
+++ b/include/mosspath/scheduler/command_planner.h
@@ -35,7 +35,8 @@
   // Raises the token of each machine whose agent has not answered a start sent under the present
   // token, or on whose agent the answers to heartbeats have no effect. An agent may execute an
   // unanswered start until it receives a higher token. The new token is the store revision of a
-  // later write by this leader, which is lower than the token of any later leader.
+  // later write by this leader, which is lower than the token of any later leader. Requests such a
+  // write if attempts can't be forgotten without a higher token.
   void RaiseTokens();
 
  private:
@@ -50,6 +51,8 @@
   bool AwaitsDurableCompletion(const wire::TaskId& task,
                                const cluster::Allocation& allocation) const;
   void RaiseToken(cluster::Machine& machine);
+  void RaiseTokenForForgets(cluster::Machine& machine);
+  void RequestTokenForForgets();
 
   SchedulerState& state_;
 };
--- a/include/mosspath/scheduler/durable_state.h
+++ b/include/mosspath/scheduler/durable_state.h
@@ -8,6 +8,7 @@
 // written (rule 8); each write is conditional on the version of the value that it replaces.
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -77,6 +78,11 @@
   // Schedules another write of the pack that contains the machine's record, without a change to the
   // pack. The store revision of the write serves as a new fencing token.
   void RewriteMachine(const std::string& id) { machines_.Touch(id); }
+  // Requests a revision above newest_revision(): rewrites the machine's record, unless a batch is
+  // in flight, which gives a newer revision as well.
+  void RequestNewerRevision(const std::string& id) {
+    if (in_flight_.empty()) RewriteMachine(id);
+  }
   // Returns whether machine records have changed since they were last written and no batch is in
   // flight.
   bool has_unwritten_machines() const { return machines_.dirty() && in_flight_.empty(); }
@@ -96,8 +102,14 @@
     PackedMapOf(pack).OnPackVersion(LocalPack(pack), version);
   }
   void OnMachinesVersion(int pack, uint64_t version) { machines_.OnPackVersion(pack, version); }
-  // Returns the store revision of the last write, or the token of this term before the first write.
-  // The revision is lower than the token of any later term.
+  // A controller that writes no records has read the store up to this revision. The tokens of all
+  // later commanders of its machines must be higher.
+  void OnRevisionRead(uint64_t revision) {
+    newest_revision_ = std::max(newest_revision_, revision);
+  }
+  // Returns the store revision of the last write, or the token of this term before the first write;
+  // for a holder of a shard, the last revision passed to OnRevisionRead(). The revision is lower
+  // than the token of any later commander of the machines.
   uint64_t newest_revision() const { return newest_revision_; }
 
  private:
--- a/include/mosspath/scheduler/heartbeat_handler.h
+++ b/include/mosspath/scheduler/heartbeat_handler.h
@@ -51,7 +51,7 @@
   HeartbeatAnswer Renew(const cluster::Machine& machine, const wire::Heartbeat& heartbeat,
                         std::vector<wire::Command> commands, double now);
   // Called when a heartbeat confirms the machine's present token.
-  void OnTokenConfirmed(cluster::Machine& machine, double now);
+  void OnTokenConfirmed(cluster::Machine& machine, uint64_t token, double now);
   void OnReclaimNotice(cluster::Machine& machine, const wire::Heartbeat& heartbeat, double now);
   void OnCommandAnswer(cluster::Machine& machine, const wire::Heartbeat& heartbeat, double now);
 
--- a/include/mosspath/scheduler/scheduler.h
+++ b/include/mosspath/scheduler/scheduler.h
@@ -222,6 +222,10 @@
     return holder_sharding_.MakeMachineStatus(machine, now);
   }
 
+  // As a holder: this controller has read the store up to `revision`, and commands its machines by
+  // what it has read. The revision may serve as a new fencing token.
+  void OnRevisionRead(uint64_t revision) { state_.durable_state.OnRevisionRead(revision); }
+
   // --- Operators ---
 
   void Apply(const config::OperatorSettings& settings);
--- a/include/mosspath/shard/shard_holder.h
+++ b/include/mosspath/shard/shard_holder.h
@@ -60,6 +60,12 @@
   // claims and machine states will be sent again, since the new leader has none.
   void OnLeader(uint64_t token);
   void OnJobEnded(const std::string& id, double now) { scheduler_.RemoveJob(id, now); }
+  // This controller has read the store up to `revision`, and the lease was open then. The revision
+  // may become a fencing token once the leader of that time has shown that it knows the lease: only
+  // then are the tokens of whoever commands the machines next higher.
+  void OnRevisionRead(uint64_t revision) {
+    if (last_leader_frame_at_) scheduler_.OnRevisionRead(revision);
+  }
 
   // --- Agents ---
   scheduler::HeartbeatAnswer OnHeartbeat(const wire::Heartbeat& heartbeat, double now);
--- a/simulation/controller_shards.cc
+++ b/simulation/controller_shards.cc
@@ -55,6 +55,7 @@
   }
   for (const auto& id : ended) holder_->OnJobEnded(id, Now());
   holder_->OnLeader(leadership_->leader_token());
+  holder_->OnRevisionRead(revision_);
 }
 
 void SimulatedController::StartHolding(uint64_t shard_lease) {
--- a/src/cluster/cluster_state.cc
+++ b/src/cluster/cluster_state.cc
@@ -8,6 +8,14 @@
 using jobs::Job;
 using jobs::TaskPhase;
 
+namespace {
+
+// An agent that keeps this many exited attempts takes no new tasks. With the tasks that fit on a
+// machine, its heartbeats stay below the limit of 64 KiB.
+constexpr size_t kMaxKeptAttempts = 256;
+
+}  // namespace
+
 Job* ClusterState::FindJob(const std::string& id) {
   const auto it = jobs.find(id);
   return it == jobs.end() ? nullptr : it->second.get();
@@ -138,6 +146,7 @@
            machine.cpus > 0 && now - machine.holder_status_at < suspect_after_s_;
   }
   if (machine.ignored_answers_token == machine.fencing_token) return false;
+  if (machine.kept_attempts >= kMaxKeptAttempts) return false;
   // Commands don't renew the agent's lease. An agent that has not found this controller, or whose
   // heartbeats reach no controller although it answers commands, would end new tasks when its lease
   // expires. Therefore a machine takes no new tasks once half of the lease has passed without a
--- a/src/scheduler/command_outcome_handler.cc
+++ b/src/scheduler/command_outcome_handler.cc
@@ -33,9 +33,10 @@
   // handled like a periodic heartbeat.
   if (outcome != CommandOutcome::kExecuted ||
       !machine.IsNewer(heartbeat->agent_epoch, heartbeat->sequence) ||
-      heartbeat->fencing_token != machine.fencing_token) {
+      !machine.IsCurrentToken(heartbeat->fencing_token)) {
     return;
   }
+  machine.ConfirmToken(heartbeat->fencing_token);
   machine.heartbeat_sequence = heartbeat->sequence;
   machine.last_contact_at = now;
   reconciler_.Reconcile(machine, *heartbeat, HeartbeatKind::kCommandAnswer, now);
--- a/src/scheduler/command_planner.cc
+++ b/src/scheduler/command_planner.cc
@@ -36,10 +36,11 @@
                      [](const auto& it) { return IsUnconfirmedStart(it.second); });
 }
 
-// Whether any start that got no answer was sent under the machine's present token.
+// Whether the machine may still execute a start that got no answer, and a heartbeat that lists the
+// attempt or not would count as current.
 bool HasUnconfirmedStartUnderCurrentToken(const Machine& machine) {
   return std::any_of(machine.allocations.begin(), machine.allocations.end(), [&](const auto& it) {
-    return IsUnconfirmedStart(it.second) && it.second.start_sent_token == machine.fencing_token;
+    return IsUnconfirmedStart(it.second) && machine.IsCurrentToken(it.second.start_sent_token);
   });
 }
 
@@ -50,6 +51,7 @@
 // Stops come first, because the answer renews the lease under which the tasks run. The limit on
 // commands delays starts first, and then forget commands.
 std::vector<wire::Command> CommandPlanner::TakeHeartbeatCommands(Machine& machine, double now) {
+  RaiseTokenForForgets(machine);
   std::vector<wire::Command> commands;
   AppendStops(machine, now, commands);
   AppendForgets(machine, commands);
@@ -69,13 +71,23 @@
 }
 
 void CommandPlanner::AppendForgets(Machine& machine, std::vector<wire::Command>& commands) const {
+  size_t kept = 0;
+  bool needs_higher_token = false;
   for (auto& [key, allocation] : machine.allocations) {
-    if (commands.size() >= kMaxCommands) return;
-    if (!allocation.exited() || AwaitsDurableCompletion(key.first, allocation)) continue;
+    if (!allocation.exited()) continue;
+    const bool forgettable = allocation.CanBeForgottenUnder(machine.fencing_token);
+    needs_higher_token = needs_higher_token || !forgettable;
+    if (!forgettable || commands.size() >= kMaxCommands ||
+        AwaitsDurableCompletion(key.first, allocation)) {
+      ++kept;
+      continue;
+    }
     allocation.forget_sent_sequence = machine.heartbeat_sequence;
     commands.push_back({wire::CommandType::kForget, key.first, key.second, 0});
     state_.command_monitor.OnForgetSent(machine, key, allocation);
   }
+  machine.kept_attempts = kept;
+  if (needs_higher_token) state_.command_monitor.OnForgetsLeftOut();
 }
 
 void CommandPlanner::AppendStarts(Machine& machine, double now,
@@ -194,6 +206,41 @@
     machine.has_unconfirmed_starts = HasUnconfirmedStart(machine);
     if (answers_ignored || HasUnconfirmedStartUnderCurrentToken(machine)) RaiseToken(machine);
   }
+  RequestTokenForForgets();
+}
+
+// One write gives a newer token to all machines.
+void CommandPlanner::RequestTokenForForgets() {
+  const uint64_t newest_revision = state_.durable_state.newest_revision();
+  for (const auto& [id, machine] : state_.cluster.machines) {
+    const bool waits = machine.awaits_newer_token && machine.fencing_token >= newest_revision;
+    if (!waits || !machine.in_record) continue;
+    state_.durable_state.RequestNewerRevision(id);
+    return;
+  }
+}
+
+// A copy of a direct start may reach the agent at any later time, and starts the attempt again if
+// the agent has forgotten it. The answer that contains the forget command therefore raises the
+// token, and from then on the agent refuses the copy. Heartbeats under the present token stay
+// evidence of the machine's state, since no command under that token is outstanding: a direct batch
+// in flight would be refused under the higher token, so the token is not raised meanwhile.
+void CommandPlanner::RaiseTokenForForgets(Machine& machine) {
+  const bool needs_higher_token =
+      std::any_of(machine.allocations.begin(), machine.allocations.end(), [&](const auto& it) {
+        const auto& [key, allocation] = it;
+        return allocation.exited() && !allocation.CanBeForgottenUnder(machine.fencing_token) &&
+               !AwaitsDurableCompletion(key.first, allocation);
+      });
+  const uint64_t newest_revision = state_.durable_state.newest_revision();
+  machine.awaits_newer_token = needs_higher_token && newest_revision <= machine.fencing_token;
+  const bool answers_ignored = machine.ignored_answers_token == machine.fencing_token;
+  if (!needs_higher_token || machine.awaits_newer_token || machine.command_in_flight ||
+      answers_ignored) {
+    return;
+  }
+  const uint64_t earlier_token = std::exchange(machine.fencing_token, newest_revision);
+  state_.command_monitor.OnTokenRaised(machine, earlier_token, TokenRaiseCause::kForget);
 }
 
 // Sets the machine's token to the store revision of the last write. If that revision is not higher
@@ -205,8 +252,8 @@
     state_.durable_state.RewriteMachine(machine.id);
     return;
   }
-  const uint64_t earlier_token = std::exchange(machine.fencing_token, newest_revision);
-  machine.token_confirmed = false;
+  const uint64_t earlier_token = machine.fencing_token;
+  machine.RequireToken(newest_revision);
   machine.token_unconfirmed_since = 0;
   const bool answers_ignored = machine.ignored_answers_token != kNoIgnoredAnswersToken;
   state_.command_monitor.OnTokenRaised(
--- a/src/scheduler/failover.cc
+++ b/src/scheduler/failover.cc
@@ -96,7 +96,7 @@
     }
     return false;
   }
-  return heartbeat->fencing_token == machine.fencing_token &&
+  return machine.IsCurrentToken(heartbeat->fencing_token) &&
          heartbeat->agent_epoch == probe.agent_epoch &&
          machine.IsNewer(heartbeat->agent_epoch, heartbeat->sequence);
 }
--- a/src/scheduler/heartbeat_handler.cc
+++ b/src/scheduler/heartbeat_handler.cc
@@ -49,14 +49,14 @@
   // evidence that answers reach the agent either. When such a heartbeat was treated as contact, a
   // machine that received no answers blocked a recovery for as long as its heartbeats arrived.
   // The answer renews the agent's lease, so it must stop the tasks of jobs that have ended.
-  if (heartbeat.fencing_token != machine.fencing_token) {
+  if (!machine.IsCurrentToken(heartbeat.fencing_token)) {
     if (machine.token_unconfirmed_since <= 0) machine.token_unconfirmed_since = now;
     return Renew(machine, heartbeat, commands_.StopsUnderNewToken(machine, heartbeat.tasks), now);
   }
   machine.missing_from_list = false;
   OnReclaimNotice(machine, heartbeat, now);
   if (!machine.token_confirmed) state_.cluster.changed_since_pass = true;
-  OnTokenConfirmed(machine, now);
+  OnTokenConfirmed(machine, heartbeat.fencing_token, now);
   reconciler_.Reconcile(machine, heartbeat, HeartbeatKind::kPeriodic, now);
   lifecycle_.OnMachineReconciled(machine);
   state_.placer.Refill(machine, now);
@@ -69,7 +69,8 @@
   return {true, machine.fencing_token, std::move(commands)};
 }
 
-void HeartbeatHandler::OnTokenConfirmed(Machine& machine, double now) {
+void HeartbeatHandler::OnTokenConfirmed(Machine& machine, uint64_t token, double now) {
+  machine.ConfirmToken(token);
   machine.last_contact_at = now;
   machine.token_unconfirmed_since = 0;
   machine.token_confirmed = true;
@@ -108,8 +109,8 @@
   if (IsCommandedElsewhere(heartbeat.machine) || !IsUsable(heartbeat)) return;
   if (heartbeat.fencing_token < state_.token) return;
   Machine& machine = lifecycle_.FindOrAdd(heartbeat, now);
-  if (heartbeat.fencing_token < machine.fencing_token) return;
-  machine.fencing_token = heartbeat.fencing_token;
+  if (heartbeat.fencing_token < machine.min_heartbeat_token) return;
+  machine.fencing_token = std::max(machine.fencing_token, heartbeat.fencing_token);
   OnCommandAnswer(machine, heartbeat, now);
 }
 
@@ -118,7 +119,7 @@
                                        double now) {
   lifecycle_.OnAgentEpoch(machine, heartbeat.agent_epoch, now);
   machine.heartbeat_sequence = heartbeat.sequence;
-  OnTokenConfirmed(machine, now);
+  OnTokenConfirmed(machine, heartbeat.fencing_token, now);
   state_.cluster.changed_since_pass = true;
   reconciler_.Reconcile(machine, heartbeat, HeartbeatKind::kCommandAnswer, now);
   lifecycle_.OnMachineReconciled(machine);
--- a/src/scheduler/holder_role.cc
+++ b/src/scheduler/holder_role.cc
@@ -9,8 +9,7 @@
 using jobs::TaskPhase;
 using Kind = wire::ShardMessage::Kind;
 
-// Only the leader can raise the machine's fencing token, so the holder drains the machine and
-// returns it to the leader.
+// The holder drains the machine and returns it to the leader, whose answers may reach the machine.
 void HolderRole::OnDeliveryFailureSuspected(Machine& machine) {
   machine.recall_requested = machine.draining = true;
   machine.cordoned = false;
--- a/src/scheduler/holder_sharding.cc
+++ b/src/scheduler/holder_sharding.cc
@@ -44,7 +44,7 @@
   if (state_.cluster.machines.contains(id) || state_.provisioning.is_deleted(id)) return;
   Machine& machine = state_.cluster.machines[id];
   machine.id = id;
-  machine.fencing_token = token;
+  machine.RequireToken(token);
   machine.in_record = machine.record_durable = true;
   machine.recorded_address = address;
   machine.lease_renewed_at = now;
--- a/src/scheduler/machine_handover.cc
+++ b/src/scheduler/machine_handover.cc
@@ -162,7 +162,7 @@
   Machine machine;
   machine.id = delegated.id;
   machine.recorded_address = delegated.recorded_address;
-  machine.fencing_token = state_.token;
+  machine.RequireToken(state_.token);
   machine.needs_new_token = true;
   machine.lease_renewed_at = last_acted;
   machine.first_contact_at = delegated.first_contact_at;
--- a/src/scheduler/machine_lifecycle.cc
+++ b/src/scheduler/machine_lifecycle.cc
@@ -25,7 +25,7 @@
   machine.in_record = machine.record_durable = true;
   if (machine.awaits_recovery) return;
   machine.id = id;
-  machine.fencing_token = state_.token;
+  machine.RequireToken(state_.token);
   machine.recorded_address = record.address;
   state_.failover.AddMachine(machine);
   // The record may name a lease that is not open under this leader. The holder of that lease may go
@@ -53,7 +53,7 @@
   if (machine.address.empty()) {
     // A machine that another controller has commanded already has a fencing token, which is higher
     // than the token of that controller.
-    if (machine.id.empty()) machine.fencing_token = state_.token;
+    if (machine.id.empty()) machine.RequireToken(state_.token);
     machine.id = heartbeat.machine;
     machine.type = heartbeat.type;
     machine.zone = heartbeat.zone;
@@ -120,8 +120,8 @@
 
 void MachineLifecycle::OnRecordDurable(Machine& machine, uint64_t revision) {
   if (!machine.needs_new_token) return;
-  machine.needs_new_token = machine.token_confirmed = false;
-  machine.fencing_token = revision;
+  machine.needs_new_token = false;
+  machine.RequireToken(revision);
   machine.next_probe_at = kLongAgo;
 }
 
--- a/src/scheduler/reconciler.cc
+++ b/src/scheduler/reconciler.cc
@@ -144,6 +144,8 @@
   allocation.exit_reason = status.exit_reason;
   allocation.placed_at = allocation.running_since = now;
   allocation.recovered = true;
+  allocation.start_sent_directly = true;
+  allocation.start_sent_token = machine.fencing_token;
   if (job != nullptr) {
     allocation.image = job->spec.image;
     allocation.team = job->spec.team;
--- a/src/scheduler/stop_monitor.cc
+++ b/src/scheduler/stop_monitor.cc
@@ -48,7 +48,7 @@
   StopSummary summary;
   AddMachine(machine, now, late_after_s_, summary);
   if (stops == 0 && summary.outstanding == 0) return;
-  const bool raises_token = token_seen != machine.fencing_token;
+  const bool raises_token = !machine.IsCurrentToken(token_seen);
   if (summary.outstanding > 0 || raises_token) ++lease_renewals_;
   if (!raises_token && summary.oldest_s <= log_after_s_) return;
   spdlog::info(
--- a/src/scheduler/unconfirmed_starts.cc
+++ b/src/scheduler/unconfirmed_starts.cc
@@ -50,7 +50,7 @@
   const cluster::Machine& machine = it->second;
   const bool reports_other_address = !machine.address.empty() && machine.address != start.address;
   if (reports_other_address) return false;
-  if (machine.fencing_token <= start.token) {
+  if (machine.min_heartbeat_token <= start.token) {
     suspects.insert(listed.machine);
     return true;
   }
--- a/src/service/shard_holder_service.cc
+++ b/src/service/shard_holder_service.cc
@@ -137,6 +137,7 @@
     });
     return;
   }
+  if (cache_.loaded()) holder_.OnRevisionRead(cache_.revision());
   holder_.Tick(net::Now());
   SendCommands();
   SendFrame();
--- a/tests/heartbeat_model_test.cc
+++ b/tests/heartbeat_model_test.cc
@@ -86,9 +86,10 @@
       }
     }
     for (const auto& [id, machine] : leader_->machines()) {
-      out += fmt::format("|{} {} {} {} {}{}{}{} {:.0f} {:.0f}", id, machine.agent_epoch,
-                         machine.heartbeat_sequence, machine.fencing_token, machine.token_confirmed,
-                         machine.lost, machine.awaits_recovery, machine.ignored_answers,
+      out += fmt::format("|{} {} {} {} {} {}{}{}{} {:.0f} {:.0f}", id, machine.agent_epoch,
+                         machine.heartbeat_sequence, machine.fencing_token,
+                         machine.min_heartbeat_token, machine.token_confirmed, machine.lost,
+                         machine.awaits_recovery, machine.ignored_answers,
                          now_ - machine.lease_renewed_at, machine.TokenUnconfirmedFor(now_));
       for (const auto& [key, allocation] : machine.allocations) {
         out += fmt::format(" {}:{}{}{}", key.second, static_cast<int>(allocation.state),
--- a/tests/shard_holder_test.cc
+++ b/tests/shard_holder_test.cc
@@ -68,5 +68,43 @@
   }
 }
 
+// Guards against a holder that takes machines from a leader which does not know its lease: a
+// revision that was read becomes a token only after a frame of the leader of that time.
+TEST(ShardHolderTest, ARevisionBecomesATokenOnlyUnderALeaderThatKnowsTheLease) {
+  config::Settings settings = test::SchedulerSettings();
+  settings.name = "hut-1";
+  settings.peers = {{"hut-0", "", ""}};
+  constexpr uint64_t kLeader = 5;
+  constexpr uint64_t kLease = 9;
+  constexpr uint64_t kRecord = 21;
+  constexpr uint64_t kRevision = 30;
+  ShardHolder holder(settings, config::DerivedSettings(settings), 1, kLease, 0,
+                     [](const std::string&) { return std::nullopt; });
+  holder.OnLeader(kLeader);
+  holder.OnMachineAssigned("vm-1", "a:1", kRecord, /*handover_revision=*/20, 1);
+  uint64_t sequence = 0;
+  // Returns the token of the answer to a heartbeat that lists an exited attempt of unknown origin.
+  const auto token_of_answer = [&](double now) {
+    wire::Heartbeat heartbeat =
+        test::MakeHeartbeat("vm-1", /*agent_epoch=*/1, ++sequence, /*fencing_token=*/kRecord);
+    heartbeat.address = "a:1";
+    heartbeat.tasks = {
+        test::Exited({.task = {"req-1", 0}, .attempt = 7}, wire::ExitReason::kFailed)};
+    return holder.OnHeartbeat(heartbeat, now).token;
+  };
+  holder.OnRevisionRead(kRevision);
+  EXPECT_EQ(token_of_answer(2), kRecord);
+  wire::ShardFrame frame;
+  frame.leader_token = kLeader;
+  frame.lease = kLease;
+  frame.from_leader = true;
+  ASSERT_TRUE(holder.OnFrame(frame, 2));
+  holder.OnRevisionRead(kRevision);
+  EXPECT_EQ(token_of_answer(3), kRevision);
+  holder.OnLeader(kLeader + 100);
+  holder.OnRevisionRead(kRevision + 100);
+  EXPECT_LE(token_of_answer(4), kRevision);
+}
+
 }  // namespace
 }  // namespace mosspath::shard
