--- a/include/mosspath/wire/status_snapshot.h
+++ b/include/mosspath/wire/status_snapshot.h
@@ -78,6 +78,9 @@
 // Encodes the snapshot without the jobs that do not fit into kMaxStatusSnapshotBytes.
 std::string Encode(const StatusSnapshot& d);
 StatusSnapshot DecodeStatusSnapshot(std::string_view frame);
+// Returns whether the snapshot was made after `other`, by the same leader or by a later one. Late
+// copies of snapshots arrive too.
+bool IsNewer(const StatusSnapshot& snapshot, const StatusSnapshot& other);
 // The sockets of the controller that serves the status, for one class of connections.
 struct SocketUsage {
   std::string connection_class;
--- a/src/service/peer_service.cc
+++ b/src/service/peer_service.cc
@@ -133,7 +133,7 @@
   const bool understood = net::TryRead("peer", "digest", on_malformed_,
                                        [&] { d = wire::DecodeStatusSnapshot(r.body); });
   if (!understood) return respond(MalformedFrameResponse());
-  if (d.token >= snapshot_.token) {
+  if (IsNewer(d, snapshot_)) {
     counts_.clear();
     for (const auto& j : d.jobs) counts_[j.id] = {j.done, j.running};
     snapshot_ = std::move(d);
--- a/src/wire/status_snapshot.cc
+++ b/src/wire/status_snapshot.cc
@@ -1,6 +1,7 @@
 #include "mosspath/wire/status_snapshot.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "mosspath/wire/varint.h"
 #include "wire/frame_header.h"
@@ -171,4 +172,9 @@
   return snapshot;
 }
 
+bool IsNewer(const StatusSnapshot& snapshot, const StatusSnapshot& other) {
+  return std::tie(snapshot.token, snapshot.leader_for_s) >
+         std::tie(other.token, other.leader_for_s);
+}
+
 }  // namespace mosspath::wire
--- a/tests/status_snapshot_test.cc
+++ b/tests/status_snapshot_test.cc
@@ -16,6 +16,20 @@
             test::SampleStatusSnapshot());
 }
 
+TEST(StatusSnapshotTest, ACopyOfAnOlderSnapshotDoesNotReplaceANewerOne) {
+  const StatusSnapshot older = test::SampleStatusSnapshot();
+  StatusSnapshot newer = older;
+  newer.leader_for_s += 1;
+  EXPECT_TRUE(IsNewer(newer, older));
+  EXPECT_FALSE(IsNewer(older, newer));
+  EXPECT_FALSE(IsNewer(older, older));
+  StatusSnapshot of_later_leader = older;
+  ++of_later_leader.token;
+  of_later_leader.leader_for_s = 0;
+  EXPECT_TRUE(IsNewer(of_later_leader, newer));
+  EXPECT_FALSE(IsNewer(newer, of_later_leader));
+}
+
 TEST(StatusSnapshotTest, MalformedFramesAreRefused) {
   const std::string good = Encode(test::SampleStatusSnapshot());
   for (size_t size = 0; size < good.size(); ++size) {
