--- a/tests/repeated_start_test.cc
+++ b/tests/repeated_start_test.cc
@@ -174,6 +174,28 @@
   for (const auto& batch : in_flight) EXPECT_TRUE(Deliver(agents_[batch.machine], batch));
 }
 
+// The raise for a forget command must not stand in for the one after which heartbeats under the
+// earlier token are no evidence.
+TEST_F(RepeatedStartTest, AnUnansweredStartRaisesTheTokenAlsoAfterARaiseForAForget) {
+  const CommandBatch first = StartTask();
+  EndTask(End::kFailed);
+  leader_->AddJob(Job(3, 8, 1, wire::Priority::kHigh), 13, now_);
+  leader_->Place(now_);
+  for (const CommandBatch& batch : leader_->TakeCommands(now_)) {
+    leader_->OnCommandOutcome(batch, CommandOutcome::kUndetermined, nullptr, now_);
+  }
+  leader_->OnRecordsWritten(++revision_, now_);
+  const HeartbeatAnswer lost = leader_->OnHeartbeat(HeartbeatOf(agents_[first_]), now_);
+  ASSERT_GT(lost.token, first.fencing_token);
+  for (int tick = 0; tick < 2; ++tick) {
+    leader_->Tick(++now_);
+    while (!leader_->TakeRecords(test::kMaxBatchPacks, test::kMaxBatchBytes).empty()) {
+      leader_->OnRecordsWritten(++revision_, now_);
+    }
+  }
+  EXPECT_FALSE(leader_->machines().at(first_).token_confirmed);
+}
+
 // In an outage of the store no newer token can be had. What the agent keeps meanwhile is bounded.
 TEST_F(RepeatedStartTest, AnAgentThatKeepsManyAttemptsGetsNoTasks) {
   constexpr uint32_t kMostKept = 300;
--- a/tests/reused_address_test.cc
+++ b/tests/reused_address_test.cc
@@ -132,6 +132,27 @@
   EXPECT_EQ(on_third + Starts(scheduler_.OnHeartbeat(again, late + 1)).size(), 1u);
 }
 
+// A token that was raised for a forget command holds nothing back until the machine has shown it.
+TEST_F(ReusedAddressTest, ATokenThatTheMachineHasNotShownRulesNothingOut) {
+  scheduler_.OnCommandOutcome(command_batch_, CommandOutcome::kUndetermined, nullptr, 0.7);
+  AddReadyMachine("vm-3", 1);
+  scheduler_.OnRecordsWritten(20, 1);
+  heartbeat_.address = command_batch_.address;
+  heartbeat_.tasks = {
+      test::Exited({.task = {"req-9", 0}, .attempt = 5}, wire::ExitReason::kFailed)};
+  ASSERT_GT(scheduler_.OnHeartbeat(heartbeat_, 1).token, command_batch_.fencing_token);
+  scheduler_.OnMachineDeleted("vm-1", 1.5);
+  const double late = 1 + 2 * settings_.machine_list_lag_s;
+  const auto machine = [&](const char* id, const std::string& address) {
+    return wire::ListedMachine{id, address, "box", "a", false, wire::MachineState::kRunning, 9};
+  };
+  scheduler_.OnMachineList({machine("vm-3", "vm-3:1"), machine("vm-2", command_batch_.address)},
+                           late, late);
+  scheduler_.Tick(late);
+  const size_t on_third = CountStartsOn("vm-3", late + 0.1);
+  EXPECT_EQ(on_third + CountStartsOn("vm-2", late + 0.1), 0u);
+}
+
 // The usual case: no other machine has reused the address of vm-1. The task is restarted as soon as
 // a machine list contains no machine with that address, if the list was requested late enough.
 TEST_F(ReusedAddressTest, NoOtherMachineHasTheAddress) {
